--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,836 @@
+// The decisions of one sidecar: where each hit goes, and how it votes on the build on trial.
+//
+// How it is called: the host makes a Balance (interface: balance.hpp), sets the clock with at(), then tells of
+// each thing that happens by one call; the answers go out through the Door, in the same call. Types that both
+// share are in state.hpp, the bytes of peer messages in gossip.hpp. The order here: figures, the five rules,
+// the chain a hit passes, the chain back, pods, and last the trial: counting, pooling, the test, the votes.
+// The mechanism is that of docs/design.md; "exception" marks where the code departs from its ordinary path.
+#include "balance.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+#include <unordered_map>
+
+#include "gossip.hpp"
+
+namespace lichenlanding {
+namespace {
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+constexpr Nanos tickEvery = 250 * ms;     // how often votes and timers are looked at
+constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
+constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
+constexpr Nanos undecidedFor = 3 * second;
+constexpr int voterCount = 3;
+constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
+constexpr int draws = 200;
+constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95;
+constexpr double leastOutcomes = 20;
+constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
+// Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
+constexpr double lateMargin = 0.1, errorMargin = 0.015, flagMargin = 0.004;
+
+constexpr int furtherForwards = 2;
+constexpr double patience = 0.6;   // of the target latency, for a forward that may be followed by another
+constexpr double coldExcess = 1.3; // of the cold pod's part of the sidecar's own traffic per pod
+constexpr Nanos benchFor = second;
+constexpr int benchDoublings = 3;
+constexpr int lastBin = latencyBins - 1;
+
+using Bins = std::vector<double>;
+
+// One draw of Dirichlet weights: s on the unseen point (first), then each bin's count.
+Bins weights(const Bins& counts, std::mt19937& chance) {
+    Bins drawn(counts.size() + 1);
+    double sum = 0;
+    for (std::size_t at = 0; at < drawn.size(); ++at) {
+        const double shape = at == 0 ? strength : counts[at - 1];
+        drawn[at] = shape > 0 ? std::gamma_distribution<double>(shape, 1)(chance) : 0;
+        sum += drawn[at];
+    }
+    for (auto& weight : drawn) weight /= sum > 0 ? sum : 1;
+    return drawn;
+}
+
+double total(const Bins& counts) {
+    double sum = 0;
+    for (auto count : counts) sum += count;
+    return sum;
+}
+
+}  // namespace
+
+RankBounds rankTest(const std::vector<double>& x, const std::vector<double>& y, double bar, int times,
+                    std::mt19937& chance) {
+    RankBounds bounds;
+    for (int draw = 0; draw < times; ++draw) {
+        const auto w = weights(x, chance), v = weights(y, chance);
+        double lower = 0, slower = 1 - v[0];  // slower: weight of the Y that are slower than the bin at hand
+        for (std::size_t bin = 1; bin < w.size(); ++bin) {
+            slower -= v[bin];
+            lower += w[bin] * (std::max(slower, 0.0) + v[bin] / 2);
+        }
+        const double upper = w[0] * v[0] + w[0] * (1 - v[0]) + v[0] * (1 - w[0]) + lower;
+        bounds.lowerChance += lower > bar, bounds.upperChance += upper > bar;
+        bounds.lowerMean += lower, bounds.upperMean += upper;
+    }
+    for (auto* figure : {&bounds.lowerChance, &bounds.upperChance, &bounds.lowerMean, &bounds.upperMean})
+        *figure /= times;
+    return bounds;
+}
+
+struct Balance::Parts {
+    enum class Next { pass, keep, end };
+
+    // What travels along the chain: the hit, the pod chosen for it, and on the way back the forward's end.
+    struct Passage {
+        Hit& hit;
+        Pod* pod = nullptr;
+        Forward* forward = nullptr;
+        Outcome outcome = Outcome::delivered;
+        Nanos took = 0;
+        bool closed = false;
+    };
+
+    // A path group's figures, made from the settings once.
+    struct Group {
+        std::array<Nanos, lastBin> edges{};  // of the latency bins, in steps of a square root of two
+        Nanos patience = 0;
+    };
+
+    // What a voter last took from a sender, so that lost, repeated and late messages do no harm.
+    struct Sender {
+        std::uint32_t epoch = 0, before = 0;
+        std::vector<std::uint32_t> seq;
+        std::vector<Pair> last;
+    };
+
+    struct Side {
+        Bins bins = Bins(latencyBins, 0);
+        double errored = 0, flagged = 0;
+        Nanos fresh = std::numeric_limits<Nanos>::min() / 4;  // when counts last came in
+
+        double all() const { return total(bins); }
+    };
+
+    struct Heard {
+        Verdict verdict = Verdict::none;
+        std::uint32_t epoch = 0, seq = 0;
+        Nanos when = std::numeric_limits<Nanos>::min() / 4;
+    };
+
+    // The newest build and what is known of it.
+    struct Trial {
+        int build = -1;
+        std::vector<Pair> own;                  // counted here, since the build was first seen
+        Nanos counted = -1;                     // when its first outcome was counted here or came from a sender
+        std::vector<int> voters;
+        std::vector<Sender> senders;            // by peer; used by voters
+        std::vector<std::array<Side, 2>> sums;  // by path group: new, earlier
+        std::vector<Heard> verdicts;            // by peer
+        Verdict verdict = Verdict::none;        // as voter
+        Nanos judged = std::numeric_limits<Nanos>::min() / 4;
+    };
+
+    struct News {
+        int build = -1, stage = 0;
+        Standing standing = Standing::released;
+        double cap = 1;
+        Nanos since = 0;
+    };
+
+    struct Cast {
+        Verdict verdict = Verdict::none;
+        int build = -1, stage = -1;
+        Nanos when = 0, next = 0;  // last cast; no vote goes out before
+    };
+
+    Parts(const Settings& settings, std::uint64_t seed, Door& door);
+
+    // figures
+    Door& door;
+    std::mt19937 chance;
+    int me, balancers, forwardsAtMost, closedStages;
+    bool mayTell, askForList, perGroup, oneWay, clocked;
+    double free, firstCap, coldFrom, coldDepth;
+    Nanos coldTime, countAfter, renewAfter, answerWait, rateGap, advice;
+    std::vector<Group> groups;
+
+    // state
+    Nanos now = 0, nextPool = 0, nextTick = -1;
+    std::uint32_t epoch, seq = 0;
+    std::unordered_map<int, std::unique_ptr<Build>> builds;  // looked up, never walked through
+    std::vector<Build*> present;                             // builds on trial now
+    std::vector<Pod*> pods;                                  // as listed, without those gone
+    std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
+    double sentPerPod = 0, typicalWork = 0;
+    std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
+    News told;
+    Trial trial;
+    Cast cast;
+
+    // rules
+    bool onTrial(const Build& build) const;
+    double cap(const Build& build) const;
+    double& allowance(Build& build, const PathGroup& group) const;
+    bool effectOnce(const Hit& hit, const Pod& pod) const;
+    bool mayBounce(const Hit& hit) const;
+    bool drainKept(const Pod& pod) const { return pod.availability == Availability::up; }
+    bool cold(const Pod& pod) const { return now - pod.started < coldTime; }
+    double warmth(const Pod& pod) const;
+    double coldRoom(Pod& pod);
+    bool coldSpared(const Hit& hit, Pod& pod);
+    bool exposureKept(const Hit& hit, const Pod& pod) const;
+    bool lawful(const Hit& hit, Pod& pod);
+    double weight(const Hit& hit) const;
+
+    // the chain out, and back
+    Next take(Passage& passage);
+    Next choose(Passage& passage);
+    Next send(Passage& passage);
+    Next settle(Passage& passage);
+    Next learn(Passage& passage);
+    Next answer(Passage& passage);
+    void run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain);
+    void giveUp(Hit& hit);
+    bool overloaded() const;
+    Nanos timeoutFor(const Hit& hit) const;
+
+    // pods
+    bool wanted(const Hit& hit, const Pod& pod) const;
+    bool probation(const Pod& pod) const { return pod.benchings > 0 && pod.failsInARow > 0; }
+    void bench(Pod& pod);
+    void listed(bool whole, std::span<const Listing> lines);
+    Build* buildOf(int number);
+
+    // the trial
+    void newest(int build);
+    void count(const Forward& forward, Outcome outcome, Nanos took);
+    void pool();
+    void absorb(int peer, const Message& message);
+    void judge();
+    Verdict verdictNow();
+    Verdict echo() const;
+    void tellVerdict();
+    void castVote();
+    void renewTick();
+};
+
+
+Balance::Parts::Parts(const Settings& told, std::uint64_t seed, Door& door_) : door(door_) {
+    std::seed_seq mix{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
+    chance.seed(mix);
+    epoch = static_cast<std::uint32_t>(chance()) | 1u;
+    me = told.index;
+    balancers = std::max(told.balancers, 1);
+    forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
+    closedStages = told.closedStages;
+    mayTell = told.mayTell;
+    askForList = told.askForList;
+    perGroup = told.perGroup;
+    oneWay = told.oneWay;
+    clocked = told.control == Control::clocked;
+    free = told.freeForwards;
+    firstCap = told.caps.empty() ? 0 : told.caps.front();
+    coldFrom = told.coldFrom;
+    coldDepth = 1;
+    coldTime = told.coldTime;
+    countAfter = std::max(2 * second, coldTime * 3 / 4);
+    renewAfter = told.voteLife / 2;
+    answerWait = told.answerWait;
+    rateGap = static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
+    advice = told.adviseRetry ? told.maxRetryAfter : 0;
+    for (const auto& group : told.groups) {
+        Group made;
+        double edge = static_cast<double>(group.target);
+        for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made.edges[bin] = static_cast<Nanos>(edge);
+        made.patience = static_cast<Nanos>(static_cast<double>(group.target) * patience);
+        groups.push_back(made);
+    }
+}
+
+// ---- The five rules. send() is the one place that every forward passes, and it asks lawful(). ----
+
+bool Balance::Parts::onTrial(const Build& build) const {
+    return build.number > told.build || (build.number == told.build && told.standing != Standing::released);
+}
+
+// A build that the news does not name yet counts as in the first stage.
+double Balance::Parts::cap(const Build& build) const { return build.number == told.build ? told.cap : firstCap; }
+
+double& Balance::Parts::allowance(Build& build, const PathGroup& group) const {
+    return build.allowance[perGroup ? static_cast<std::size_t>(group.index) : 0];
+}
+
+// No effect twice: what may have run goes again only where its path group drops or stands repeats.
+bool Balance::Parts::effectOnce(const Hit& hit, const Pod& pod) const {
+    for (const auto& earlier : hit.forwards) {
+        if (earlier.out) return false;  // never two at once
+        if (!earlier.mayHaveRun || hit.group->effect == Effect::repeatable) continue;
+        if (hit.group->effect == Effect::mutating || now >= earlier.sent + hit.group->window) return false;
+        if (hit.group->reach == Reach::zone && pod.zone != earlier.zone) return false;
+        if (hit.group->reach == Reach::cell && pod.cell != earlier.cell) return false;
+    }
+    return true;
+}
+
+// A bounce promises that trying again is harmless.
+bool Balance::Parts::mayBounce(const Hit& hit) const {
+    if (hit.group->effect == Effect::repeatable) return true;
+    if (hit.group->effect == Effect::tagged && hit.group->reach == Reach::all) return true;
+    return std::none_of(hit.forwards.begin(), hit.forwards.end(), [](auto& sent) { return sent.mayHaveRun; });
+}
+
+// The least that a pod of this age can do, as a share of a warm one.
+double Balance::Parts::warmth(const Pod& pod) const {
+    if (!cold(pod)) return 1;
+    const auto age = static_cast<double>(std::max<Nanos>(now - pod.started, 0));
+    return coldFrom + (1 - coldFrom) * age / static_cast<double>(coldTime);
+}
+
+double Balance::Parts::weight(const Hit& hit) const {
+    return hit.work > 0 ? static_cast<double>(hit.work) : typicalWork > 0 ? typicalWork : 1.0;
+}
+
+// A cold pod may get its part of what this sidecar sends to a pod on average, and no burst: what each sidecar
+// keeps to of its own traffic, all keep to of the whole. A quiet sidecar saves up for one typical hit at most.
+double Balance::Parts::coldRoom(Pod& pod) {
+    pod.coldSpent += (sentPerPod - pod.coldMark) * warmth(pod) * coldExcess;
+    pod.coldMark = sentPerPod;
+    return pod.coldSpent = std::min(pod.coldSpent, coldDepth * std::max(typicalWork, 1.0));
+}
+
+bool Balance::Parts::coldSpared(const Hit& hit, Pod& pod) {
+    return !cold(pod) || coldRoom(pod) >= std::min(weight(hit), 1.0 * std::max(typicalWork, 1.0));
+}
+
+// Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes one,
+// so that over any span forwards stay under the free number plus the cap's share of the hits taken.
+bool Balance::Parts::exposureKept(const Hit& hit, const Pod& pod) const {
+    if (!onTrial(*pod.build)) return true;
+    const auto share = cap(*pod.build);
+    const auto stage = pod.build->number == told.build ? told.stage : 0;
+    if (share <= 0 || (stage < closedStages && hit.group->effect != Effect::repeatable)) return false;
+    return allowance(*pod.build, *hit.group) >= 1;
+}
+
+bool Balance::Parts::lawful(const Hit& hit, Pod& pod) {
+    if (hit.ended || now >= hit.deadline) return false;  // every hit one answer, and nothing after it
+    if (!drainKept(pod) || !effectOnce(hit, pod) || !exposureKept(hit, pod)) return false;
+    if (oneWay && !hit.key.empty() && told.standing != Standing::goingBack && told.standing != Standing::withdrawn)
+        if (const auto found = answeredBy.find(hit.key); found != answeredBy.end())
+            if (pod.build->number < found->second) return false;
+    return coldSpared(hit, pod);
+}
+
+// ---- The chain out: take, choose, send. ----
+
+void Balance::Parts::run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain) {
+    for (auto stage : chain)
+        if ((this->*stage)(passage) != Next::pass) return;
+}
+
+Balance::Parts::Next Balance::Parts::take(Passage& passage) {
+    for (auto* build : present) {
+        auto& allowed = allowance(*build, *passage.hit.group);
+        allowed = std::min(free, allowed + cap(*build));
+    }
+    if (passage.hit.work > 0)
+        typicalWork += (static_cast<double>(passage.hit.work) - typicalWork) / (typicalWork > 0 ? 64 : 1);
+    return Next::pass;
+}
+
+// A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show itself.
+bool Balance::Parts::wanted(const Hit& hit, const Pod& pod) const {
+    if (now < pod.benchedUntil) return false;
+    return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
+}
+
+Balance::Parts::Next Balance::Parts::choose(Passage& passage) {
+    auto& hit = passage.hit;
+    const bool further = !hit.forwards.empty();
+    // Preference falls in steps: a healthy pod, then any; further forwards first go to an earlier build.
+    std::vector<Pod*> best;
+    int bestRank = 8;
+    for (auto* pod : pods) {
+        int rank = wanted(hit, *pod) ? 0 : 1;
+        if (further && pod == hit.forwards.back().pod) rank += 2;
+        if (further && onTrial(*pod->build)) rank += 4;
+        if (rank > bestRank || !lawful(hit, *pod)) continue;
+        if (rank < bestRank) best.clear();
+        bestRank = rank;
+        best.push_back(pod);
+    }
+    // Away from the build on trial, unless no pod of an earlier build is left at all.
+    if (bestRank >= 4)
+        for (auto* pod : pods)
+            if (pod->availability == Availability::up && !onTrial(*pod->build)) best.clear();
+    if (best.empty()) {
+        giveUp(hit);
+        return Next::end;
+    }
+    const auto first = chance() % best.size();
+    passage.pod = best[first];
+    if (best.size() > 1) {
+        auto* other = best[(first + 1 + chance() % (best.size() - 1)) % best.size()];
+        if ((other->out + 1) / warmth(*other) < (passage.pod->out + 1) / warmth(*passage.pod)) passage.pod = other;
+    }
+    return Next::pass;
+}
+
+Balance::Parts::Next Balance::Parts::send(Passage& passage) {
+    auto& hit = passage.hit;
+    auto& pod = *passage.pod;
+    if (!lawful(hit, pod)) {
+        giveUp(hit);
+        return Next::end;
+    }
+    if (cold(pod)) pod.coldSpent -= weight(hit);
+    sentPerPod += weight(hit) / static_cast<double>(std::max<std::size_t>(pods.size(), 1));
+    if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
+    if (probation(pod)) pod.sampled = true;
+    ++pod.out;
+    const auto timeout = timeoutFor(hit);
+    hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
+    door.forward(hit.forwards.back(), timeout);
+    return Next::keep;
+}
+
+// Waits for less than the target latency only where another forward could still follow.
+Nanos Balance::Parts::timeoutFor(const Hit& hit) const {
+    const auto left = hit.deadline - now;
+    const bool last = static_cast<int>(hit.forwards.size()) + 1 >= forwardsAtMost;
+    if (last || overloaded() || hit.group->effect == Effect::mutating) return left;
+    return std::min(left, groups[static_cast<std::size_t>(hit.group->index)].patience);
+}
+
+// One final answer, at once: a bounce where it may be promised, else an error.
+void Balance::Parts::giveUp(Hit& hit) {
+    hit.ended = true;
+    if (now < hit.deadline && mayBounce(hit))
+        door.bounce(hit, overloaded() ? advice : 0);
+    else
+        door.error(hit);
+}
+
+// ---- The chain back: settle, learn, answer. ----
+
+Balance::Parts::Next Balance::Parts::settle(Passage& passage) {
+    auto& forward = *passage.forward;
+    forward.out = false;
+    --forward.pod->out;
+    forward.mayHaveRun = passage.outcome != Outcome::saturated && passage.outcome != Outcome::unreached &&
+                         passage.outcome != Outcome::superseded;
+    if (passage.closed) passage.hit.ended = true;
+    return Next::pass;
+}
+
+Balance::Parts::Next Balance::Parts::learn(Passage& passage) {
+    auto& forward = *passage.forward;
+    auto& pod = *forward.pod;
+    const auto outcome = passage.outcome;
+    if (outcome == Outcome::superseded || outcome == Outcome::recalled) return Next::pass;
+    count(forward, outcome, passage.took);
+    pod.sampled = false;
+    const bool well = outcome == Outcome::delivered;
+    // A bad build's errors are for the vote to judge: benching its pods would hide the evidence.
+    const bool blame = !well && outcome != Outcome::saturated &&
+                       !(outcome == Outcome::errored && onTrial(*forward.build));
+    if (well) {
+        pod.failsInARow = 0;
+        if (pod.tries[0] > 8) pod.benchings = 0;
+    }
+    if (blame) ++pod.failsInARow;
+    if (well || blame) {
+        if (++pod.tries[well ? 0 : 1] + pod.tries[well ? 1 : 0] >= 16)
+            for (auto& tries : pod.tries) tries /= 2;
+        if (blame && pod.tries[1] >= 3 && pod.tries[1] * 3 >= pod.tries[0]) bench(pod);
+    }
+    const bool late = outcome == Outcome::saturated || outcome == Outcome::overdue ||
+                      (well && passage.took > passage.hit.group->target);
+    if (now >= pod.benchedUntil && (well || late))
+        if (++recent[late ? 1 : 0] + recent[late ? 0 : 1] >= 64)
+            for (auto& some : recent) some /= 2;
+    if (well && oneWay && !passage.hit.key.empty() && onTrial(*forward.build))
+        answeredBy[passage.hit.key] = forward.build->number;
+    return Next::pass;
+}
+
+Balance::Parts::Next Balance::Parts::answer(Passage& passage) {
+    auto& hit = passage.hit;
+    if (hit.ended) return Next::end;
+    const bool more = static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
+    if (!more) {
+        giveUp(hit);
+        return Next::end;
+    }
+    run({hit}, {&Parts::choose, &Parts::send});
+    return Next::keep;
+}
+
+// The sidecar sees overload when a third of its own outcomes lately came late or were turned away.
+bool Balance::Parts::overloaded() const { return recent[0] + recent[1] >= 16 && recent[1] * 2 > recent[0]; }
+
+// ---- Pods: the list, and which are left out for a while. ----
+
+// Never more than half of the pods: if most fail, the cause lies elsewhere and sending on is better.
+void Balance::Parts::bench(Pod& pod) {
+    const auto benched = std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
+    if (benched * 2 >= static_cast<std::ptrdiff_t>(pods.size())) return;
+    pod.benchedUntil = now + (benchFor << std::min(pod.benchings, benchDoublings));
+    ++pod.benchings;
+    pod.tries = {0, 2};
+}
+
+Build* Balance::Parts::buildOf(int number) {
+    auto& build = builds[number];
+    if (!build) {
+        build = std::make_unique<Build>();
+        build->number = number;
+        build->allowance.assign(perGroup ? groups.size() : 1, 0.0);
+    }
+    return build.get();
+}
+
+void Balance::Parts::listed(bool whole, std::span<const Listing> lines) {
+    std::vector<Pod*> before;
+    if (whole) {
+        before.swap(pods);
+        for (auto* pod : before) pod->availability = Availability::gone;
+    }
+    int highest = told.build;
+    for (const auto& line : lines) {
+        auto& pod = *line.pod;
+        if (line.started != pod.started) {  // another process: nothing known of it, and cold
+            pod.tries = {};
+            pod.failsInARow = pod.benchings = 0;
+            pod.benchedUntil = 0;
+            pod.coldSpent = 0;
+            pod.coldMark = sentPerPod;
+        }
+        pod.build = buildOf(line.build);
+        pod.zone = line.zone;
+        pod.cell = line.cell;
+        pod.started = line.started;
+        pod.availability = line.availability;
+        highest = std::max(highest, line.build);
+        const auto held = std::find(pods.begin(), pods.end(), &pod);
+        if (line.availability == Availability::gone) {
+            if (held != pods.end()) pods.erase(held);
+        } else if (held == pods.end()) {
+            pods.push_back(&pod);
+        }
+    }
+    std::sort(pods.begin(), pods.end(), [](auto* one, auto* other) { return one->id < other->id; });
+    present.clear();
+    for (auto* pod : pods)
+        if (onTrial(*pod->build) && std::find(present.begin(), present.end(), pod->build) == present.end())
+            present.push_back(pod->build);
+    newest(highest);
+}
+
+// ---- The trial: counting, pooling, the test, the votes. ----
+
+void Balance::Parts::newest(int build) {
+    if (build <= trial.build) return;
+    trial = Trial{};
+    trial.build = build;
+    const auto n = static_cast<std::size_t>(balancers);
+    trial.own.resize(groups.size());
+    trial.senders.resize(n);
+    for (auto& sender : trial.senders) sender.seq.resize(groups.size()), sender.last.resize(groups.size());
+    trial.sums.resize(groups.size());
+    trial.verdicts.resize(n);
+    // Three voters, hashed from the build number: the same at every sidecar.
+    std::vector<std::pair<std::uint64_t, int>> order;
+    for (int peer = 0; peer < balancers; ++peer) {
+        std::uint64_t hash = (static_cast<std::uint64_t>(build) << 20) + static_cast<std::uint64_t>(peer) + 1;
+        for (int turn = 0; turn < 2; ++turn) hash = (hash ^ (hash >> 31)) * 0x9e3779b97f4a7c15ull;
+        order.emplace_back(hash ^ (hash >> 32), peer);
+    }
+    std::sort(order.begin(), order.end());
+    for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
+}
+
+// Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
+void Balance::Parts::count(const Forward& forward, Outcome outcome, Nanos took) {
+    if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
+    if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
+    if (forward.sent - forward.pod->started < countAfter) return;
+    const auto group = static_cast<std::size_t>(forward.hit->group->index);
+    const bool isNew = forward.build->number == trial.build;
+    auto& tally = trial.own[group][isNew ? 0 : 1];
+    int bin = lastBin;
+    if (outcome == Outcome::delivered) {
+        const auto& edges = groups[group].edges;
+        bin = static_cast<int>(std::upper_bound(edges.begin(), edges.end(), took) - edges.begin());
+    }
+    ++tally.bins[static_cast<std::size_t>(bin)];
+    if (outcome == Outcome::errored) ++tally.errored;
+    if (isNew && trial.counted < 0) trial.counted = now;
+}
+
+// Every two seconds the counts go to the voters. Each message carries the sums since the build was seen, of
+// which a voter adds what is new to it: a lost, repeated or late message then changes nothing in the end.
+void Balance::Parts::pool() {
+    if (trial.build < 0 || told.standing == Standing::withdrawn) return;
+    Message head;
+    head.epoch = epoch;
+    head.seq = ++seq;
+    head.build = static_cast<std::uint32_t>(trial.build);
+    const auto messages = encodeCounts(head, trial.own);
+    for (int voter : trial.voters) {
+        if (voter == me) {
+            head.pairs = trial.own;
+            absorb(me, head);
+        } else if (mayTell) {
+            for (const auto& bytes : messages) door.tell(voter, bytes);
+        }
+    }
+    if (std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end()) {
+        judge();
+        tellVerdict();
+    }
+}
+
+void Balance::Parts::absorb(int peer, const Message& message) {
+    auto& sender = trial.senders[static_cast<std::size_t>(peer)];
+    if (message.epoch != sender.epoch) {
+        if (message.epoch == sender.before) return;  // from before the sender's restart
+        sender.before = sender.epoch;
+        sender.epoch = message.epoch;
+        std::fill(sender.seq.begin(), sender.seq.end(), 0);
+        std::fill(sender.last.begin(), sender.last.end(), Pair{});
+    }
+    for (std::size_t at = 0; at < message.pairs.size(); ++at) {
+        const auto group = message.firstGroup + at;
+        if (group >= groups.size() || message.seq <= sender.seq[group]) continue;
+        sender.seq[group] = message.seq;
+        for (int which = 0; which < 2; ++which) {
+            const auto& came = message.pairs[at][which];
+            const auto& had = sender.last[group][which];
+            auto& side = trial.sums[group][which];
+            double grew = 0;
+            for (int bin = 0; bin < latencyBins; ++bin) {
+                const double more = came.bins[bin] > had.bins[bin] ? came.bins[bin] - had.bins[bin] : 0;
+                side.bins[bin] += more;
+                grew += more;
+            }
+            side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
+            side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
+            if (grew > 0) side.fresh = now;
+            if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
+            if (side.all() > halveAt) {
+                for (auto& bin : side.bins) bin /= 2;
+                side.errored /= 2, side.flagged /= 2;
+            }
+            sender.last[group][which] = came;
+        }
+    }
+}
+
+void Balance::Parts::judge() {
+    trial.judged = now;
+    if (trial.verdict == Verdict::back) return;  // stands for this build
+    const auto before = trial.verdict;
+    trial.verdict = verdictNow();
+    if (trial.verdict != before) tellVerdict();
+    castVote();
+}
+
+Verdict Balance::Parts::verdictNow() {
+    const bool released = told.build == trial.build && told.standing == Standing::released;
+    // The design's ranks over all path groups; the earlier side is mixed as the new build's hits are, since
+    // some stages are closed to some path groups.
+    double most = 0;
+    for (const auto& sum : trial.sums)
+        if (sum[1].all() > 0) most = std::max(most, sum[0].all() / sum[1].all());
+    Bins x(latencyBins), y(latencyBins);
+    double flaggedX = 0, flaggedY = 0;
+    Nanos fresh = std::numeric_limits<Nanos>::min() / 4;
+    bool back = false;
+    for (const auto& [newer, earlier] : trial.sums) {
+        const double n = newer.all(), m = earlier.all();
+        if (n <= 0 || m <= 0) continue;
+        for (int bin = 0; bin < latencyBins; ++bin) {
+            x[bin] += newer.bins[bin];
+            y[bin] += earlier.bins[bin] * (n / m) / most;
+        }
+        flaggedX += newer.flagged, flaggedY += earlier.flagged * (n / m) / most;
+        fresh = std::max(fresh, earlier.fresh);
+        if (n < leastOutcomes || m < leastOutcomes) continue;
+        // Exception: a failing path group holds few ranks of the whole. The same test on that group's ranks, and
+        // on its ranks coarsened to two (in time or not; errored or not), gives 'back' if no draw passes the bar.
+        const auto fails = [&](const Bins& one, const Bins& other, double bar) {
+            return rankTest(one, other, bar, draws, chance).upperChance <= 0;
+        };
+        const auto two = [&](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
+        const bool beside = now - earlier.fresh <= 2 * poolEvery && !released;
+        back = back || fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2);
+        if (!beside) continue;
+        back = back || fails(newer.bins, earlier.bins, backBar);
+        back = back || fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2);
+    }
+    if (back) return Verdict::back;
+    if (const double n = total(x), m = total(y); n >= leastOutcomes && m >= leastOutcomes) {
+        // Exception: wrong answers show late and in part, far too few for ranks; flagged or not is a rank too.
+        const Bins flagsX{std::max(n - flaggedX, 0.0), flaggedX}, flagsY{std::max(m - flaggedY, 0.0), flaggedY};
+        if (rankTest(flagsX, flagsY, 0.5 - flagMargin / 2, draws, chance).upperChance <= 0) return Verdict::back;
+        if (released) return Verdict::none;
+        if (now - fresh <= 2 * poolEvery && rankTest(x, y, backBar, draws, chance).upperChance < 1 - sure)
+            return Verdict::back;
+        if (!clocked && rankTest(x, y, onBar, draws, chance).lowerChance > sure) return Verdict::on;
+    }
+    if (clocked) {
+        const bool young = told.build == trial.build && now - told.since < undecidedFor;
+        return young ? Verdict::hold : Verdict::none;
+    }
+    return trial.counted >= 0 && now - trial.counted >= undecidedFor ? Verdict::on : Verdict::none;
+}
+
+void Balance::Parts::tellVerdict() {
+    if (!mayTell) return;
+    Message message;
+    message.kind = Message::Kind::verdict;
+    message.epoch = epoch;
+    message.seq = ++seq;
+    message.build = static_cast<std::uint32_t>(trial.build);
+    message.verdict = static_cast<std::uint32_t>(trial.verdict);
+    const auto bytes = encode(message);
+    for (int peer = 0; peer < balancers; ++peer)
+        if (peer != me) door.tell(peer, bytes);
+}
+
+// What most voters say; of a tie, the later one to be undecided.
+Verdict Balance::Parts::echo() const {
+    std::array<int, 4> count{};
+    for (int voter : trial.voters) ++count[static_cast<std::size_t>(trial.verdicts[voter].verdict)];
+    const auto needed = static_cast<int>(trial.voters.size()) / 2 + 1;
+    if (count[3] >= needed) return Verdict::back;
+    if (!clocked && count[1] >= needed) return Verdict::on;
+    if (clocked && count[2] >= needed) return Verdict::hold;
+    return Verdict::none;
+}
+
+void Balance::Parts::castVote() {
+    if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
+    const bool voter = std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
+    auto verdict = voter ? trial.verdict : echo();
+    if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
+    if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn) verdict = Verdict::none;
+    const bool anyStage = verdict == Verdict::back || verdict == Verdict::none;
+    const bool same = cast.verdict == verdict && (verdict == Verdict::none || cast.build == told.build) &&
+                      (anyStage || cast.stage == told.stage);
+    if (same && (verdict == Verdict::none || now < cast.when + renewAfter)) return;
+    // A vote for what is over needs no taking back.
+    if (verdict == Verdict::none && (told.standing != Standing::trial || cast.build != told.build ||
+                                     cast.stage != told.stage)) {
+        cast.verdict = verdict;
+        return;
+    }
+    if (now < cast.next) return;
+    cast = {verdict, told.build, told.stage, now, now + answerWait};
+    door.vote(verdict, told.build, told.stage);
+}
+
+void Balance::Parts::renewTick() {
+    if (nextTick > now) return;
+    nextTick = now + tickEvery;
+    door.wake(tickEvery);
+}
+
+// ---- The calls. ----
+
+Balance::Balance(const Settings& settings, std::uint64_t seed, Door& door)
+    : parts_(std::make_unique<Parts>(settings, seed, door)) {}
+Balance::~Balance() = default;
+
+void Balance::at(Nanos now) { parts_->now = now; }
+
+void Balance::listed(bool whole, std::span<const Listing> lines) { parts_->listed(whole, lines); }
+
+void Balance::listFailed() {
+    if (parts_->askForList) parts_->door.listen();
+}
+
+void Balance::hit(Hit& hit) { parts_->run({hit}, {&Parts::take, &Parts::choose, &Parts::send}); }
+
+void Balance::head(Forward& forward) { forward.hit->deadline = std::numeric_limits<Nanos>::max(); }
+
+void Balance::outcome(Forward& forward, Outcome outcome, Nanos took, bool closed) {
+    Parts::Passage passage{*forward.hit, forward.pod, &forward, outcome, took, closed};
+    parts_->run(passage, {&Parts::settle, &Parts::learn, &Parts::answer});
+}
+
+void Balance::hangup(Hit& hit) { hit.ended = true; }
+
+void Balance::flagged(Pod& pod, Nanos age, const PathGroup& group) {
+    auto& trial = parts_->trial;
+    if (!pod.build || parts_->now - age < pod.started || pod.build->number > trial.build) return;
+    auto& tally = trial.own[static_cast<std::size_t>(group.index)][pod.build->number == trial.build ? 0 : 1];
+    ++tally.flagged;
+    ++tally.bins[lastBin];
+}
+
+void Balance::heard(int peer, const std::string& bytes) {
+    auto& parts = *parts_;
+    const auto message = decode(bytes);
+    if (!message || peer >= parts.balancers || peer == parts.me) return;
+    if (static_cast<int>(message->build) != parts.trial.build) return;
+    if (message->kind == Message::Kind::counts) {
+        if (std::find(parts.trial.voters.begin(), parts.trial.voters.end(), parts.me) == parts.trial.voters.end())
+            return;
+        parts.absorb(peer, *message);
+        if (parts.now - parts.trial.judged >= judgeAtMost) parts.judge();
+        return;
+    }
+    auto& heard = parts.trial.verdicts[static_cast<std::size_t>(peer)];
+    if (heard.epoch == message->epoch && message->seq <= heard.seq) return;
+    heard = {static_cast<Verdict>(message->verdict), message->epoch, message->seq, parts.now};
+    parts.castVote();
+}
+
+void Balance::news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap, Nanos age) {
+    auto& parts = *parts_;
+    if (answer) {
+        parts.cast.next = parts.now;
+        if (answered != Outcome::delivered) {  // it may not count: cast again, spaced out when over the rate
+            parts.cast.verdict = Verdict::none;
+            parts.cast.build = -1;
+            const auto gap = answered == Outcome::saturated ? parts.rateGap : tickEvery;
+            parts.cast.next += gap / 2 + static_cast<Nanos>(parts.chance() % 1000) * gap / 1000;
+        }
+        if (answered != Outcome::delivered) return;
+    }
+    if (build < parts.told.build) return;
+    if (build != parts.told.build || cap < parts.told.cap) {  // counting restarts under a lower cap
+        auto& allowed = parts.buildOf(build)->allowance;
+        std::fill(allowed.begin(), allowed.end(), 0.0);
+    }
+    if (build != parts.told.build || stage != parts.told.stage) parts.told.since = parts.now - age;
+    parts.told.build = build;
+    parts.told.stage = stage;
+    parts.told.standing = standing;
+    parts.told.cap = cap;
+    if (standing == Standing::goingBack || standing == Standing::withdrawn) parts.answeredBy.clear();
+    parts.listed(false, {});
+    parts.castVote();
+}
+
+void Balance::woke() {
+    auto& parts = *parts_;
+    if (parts.nextTick < 0) {  // the first call
+        if (parts.askForList) parts.door.listen();
+        parts.nextPool = parts.now + static_cast<Nanos>(parts.chance() % 1000) * (poolEvery / 1000);
+    }
+    if (parts.now >= parts.nextPool) {
+        parts.nextPool = parts.now + poolEvery;
+        parts.pool();
+    }
+    parts.castVote();
+    parts.renewTick();
+}
+
+}  // namespace lichenlanding
--- /dev/null
+++ b/src/gossip.cpp
@@ -0,0 +1,115 @@
+#include "gossip.hpp"
+
+namespace lichenlanding {
+namespace {
+
+constexpr unsigned char version = 1;
+
+void put(std::string& to, std::uint32_t value) {
+    while (value >= 0x80) {
+        to.push_back(static_cast<char>(value | 0x80));
+        value >>= 7;
+    }
+    to.push_back(static_cast<char>(value));
+}
+
+void put(std::string& to, const Tally& tally) {
+    for (auto count : tally.bins) put(to, count);
+    put(to, tally.errored);
+    put(to, tally.flagged);
+}
+
+struct Reader {
+    const std::string& bytes;
+    std::size_t at = 0;
+    bool good = true;
+
+    std::uint32_t number() {
+        std::uint64_t value = 0;
+        for (int shift = 0; shift < 35; shift += 7) {
+            if (at >= bytes.size()) break;
+            auto byte = static_cast<unsigned char>(bytes[at++]);
+            value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+            if (byte < 0x80) {
+                if (value > 0xffffffffu) break;
+                return static_cast<std::uint32_t>(value);
+            }
+        }
+        good = false;
+        return 0;
+    }
+
+    Tally tally() {
+        Tally read;
+        for (auto& count : read.bins) count = number();
+        read.errored = number();
+        read.flagged = number();
+        return read;
+    }
+};
+
+std::string head(const Message& message) {
+    std::string bytes{static_cast<char>(version), static_cast<char>(message.kind)};
+    put(bytes, message.epoch);
+    put(bytes, message.seq);
+    put(bytes, message.build);
+    put(bytes, message.kind == Message::Kind::verdict ? message.verdict : message.firstGroup);
+    return bytes;
+}
+
+}  // namespace
+
+std::string encode(const Message& message) {
+    std::string bytes = head(message);
+    for (const auto& pair : message.pairs)
+        for (const auto& tally : pair) put(bytes, tally);
+    return bytes;
+}
+
+std::vector<std::string> encodeCounts(Message message, const std::vector<Pair>& pairs) {
+    std::vector<std::string> all;
+    std::string bytes;
+    for (std::size_t group = 0; group < pairs.size(); ++group) {
+        std::string one;
+        for (const auto& tally : pairs[group]) put(one, tally);
+        if (!bytes.empty() && bytes.size() + one.size() > maxMessage) {
+            all.push_back(std::move(bytes));
+            bytes.clear();
+        }
+        if (bytes.empty()) {
+            message.firstGroup = static_cast<std::uint32_t>(group);
+            bytes = head(message);
+        }
+        bytes += one;
+    }
+    if (!bytes.empty()) all.push_back(std::move(bytes));
+    return all;
+}
+
+std::optional<Message> decode(const std::string& bytes) {
+    if (bytes.size() < 2 || bytes.size() > maxMessage) return {};
+    if (static_cast<unsigned char>(bytes[0]) != version) return {};
+    Message message;
+    if (bytes[1] != 1 && bytes[1] != 2) return {};
+    message.kind = static_cast<Message::Kind>(bytes[1]);
+    Reader reader{bytes, 2};
+    message.epoch = reader.number();
+    message.seq = reader.number();
+    message.build = reader.number();
+    const auto last = reader.number();
+    if (message.kind == Message::Kind::verdict) {
+        message.verdict = last;
+        if (last > 3 || reader.at != bytes.size()) return {};
+    } else {
+        message.firstGroup = last;
+        while (reader.good && reader.at < bytes.size()) {
+            Pair pair;
+            for (auto& tally : pair) tally = reader.tally();
+            message.pairs.push_back(pair);
+        }
+    }
+    if (!reader.good) return {};
+    return message;
+}
+
+}  // namespace lichenlanding
