--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,8 +33,8 @@
 constexpr double lateMargin = 0.1, errorMargin = 0.015, flagMargin = 0.004;
 
 constexpr int furtherForwards = 2;
-constexpr double patience = 0.6;   // of the target latency, for a forward that may be followed by another
-constexpr double coldExcess = 1.3; // of the cold pod's part of the sidecar's own traffic per pod
+constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
+constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
 constexpr int lastBin = latencyBins - 1;
@@ -97,7 +97,6 @@
     // A path group's figures, made from the settings once.
     struct Group {
         std::array<Nanos, lastBin> edges{};  // of the latency bins, in steps of a square root of two
-        Nanos patience = 0;
     };
 
     // What a voter last took from a sender, so that lost, repeated and late messages do no harm.
@@ -154,8 +153,8 @@
     std::mt19937 chance;
     int me, balancers, forwardsAtMost, closedStages;
     bool mayTell, askForList, perGroup, oneWay, clocked;
-    double free, firstCap, coldFrom, coldDepth;
-    Nanos coldTime, countAfter, renewAfter, answerWait, rateGap, advice;
+    double free, firstCap, coldFrom, coldExcess;
+    Nanos coldTime, silentAfter, countAfter, renewAfter, answerWait, rateGap, advice;
     std::vector<Group> groups;
 
     // state
@@ -165,7 +164,9 @@
     std::vector<Build*> present;                             // builds on trial now
     std::vector<Pod*> pods;                                  // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
-    double sentPerPod = 0, typicalWork = 0;
+    double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
+    int secondsSeen = 0;
+    Nanos nextSecond = 0;
     std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
     News told;
     Trial trial;
@@ -196,7 +197,6 @@
     void run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain);
     void giveUp(Hit& hit);
     bool overloaded() const;
-    Nanos timeoutFor(const Hit& hit) const;
 
     // pods
     bool wanted(const Hit& hit, const Pod& pod) const;
@@ -215,6 +215,7 @@
     Verdict echo() const;
     void tellVerdict();
     void castVote();
+    void measure();
     void renewTick();
 };
 
@@ -235,18 +236,19 @@
     free = told.freeForwards;
     firstCap = told.caps.empty() ? 0 : told.caps.front();
     coldFrom = told.coldFrom;
-    coldDepth = 1;
+    coldExcess = std::max(1.0, told.fallMultiple * coldPart);
     coldTime = told.coldTime;
     countAfter = std::max(2 * second, coldTime * 3 / 4);
     renewAfter = told.voteLife / 2;
     answerWait = told.answerWait;
     rateGap = static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
     advice = told.adviseRetry ? told.maxRetryAfter : 0;
+    silentAfter = second;
     for (const auto& group : told.groups) {
+        silentAfter = std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
         Group made;
         double edge = static_cast<double>(group.target);
         for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made.edges[bin] = static_cast<Nanos>(edge);
-        made.patience = static_cast<Nanos>(static_cast<double>(group.target) * patience);
         groups.push_back(made);
     }
 }
@@ -294,16 +296,18 @@
     return hit.work > 0 ? static_cast<double>(hit.work) : typicalWork > 0 ? typicalWork : 1.0;
 }
 
-// A cold pod may get its part of what this sidecar sends to a pod on average, and no burst: what each sidecar
-// keeps to of its own traffic, all keep to of the whole. A quiet sidecar saves up for one typical hit at most.
+// A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less than the
+// multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep to of the whole.
+// Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar saves up one hit.
 double Balance::Parts::coldRoom(Pod& pod) {
-    pod.coldSpent += (sentPerPod - pod.coldMark) * warmth(pod) * coldExcess;
-    pod.coldMark = sentPerPod;
-    return pod.coldSpent = std::min(pod.coldSpent, coldDepth * std::max(typicalWork, 1.0));
+    const auto since = std::max(pod.coldMark, pod.started);
+    pod.coldSpent += doneRate * warmth(pod) * coldExcess * static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
+    pod.coldMark = now;
+    return pod.coldSpent = std::min(pod.coldSpent, std::max(typicalWork, 1.0));
 }
 
 bool Balance::Parts::coldSpared(const Hit& hit, Pod& pod) {
-    return !cold(pod) || coldRoom(pod) >= std::min(weight(hit), 1.0 * std::max(typicalWork, 1.0));
+    return !cold(pod) || coldRoom(pod) >= weight(hit);
 }
 
 // Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes one,
@@ -342,9 +346,10 @@
     return Next::pass;
 }
 
-// A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show itself.
+// A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until it
+// speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show itself.
 bool Balance::Parts::wanted(const Hit& hit, const Pod& pod) const {
-    if (now < pod.benchedUntil) return false;
+    if (now < pod.benchedUntil || (pod.out > 0 && now - pod.heard > silentAfter)) return false;
     return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
 }
 
@@ -388,24 +393,14 @@
         return Next::end;
     }
     if (cold(pod)) pod.coldSpent -= weight(hit);
-    sentPerPod += weight(hit) / static_cast<double>(std::max<std::size_t>(pods.size(), 1));
     if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
     if (probation(pod)) pod.sampled = true;
-    ++pod.out;
-    const auto timeout = timeoutFor(hit);
+    if (pod.out++ == 0) pod.heard = now;
     hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
-    door.forward(hit.forwards.back(), timeout);
+    door.forward(hit.forwards.back(), hit.deadline - now);
     return Next::keep;
 }
 
-// Waits for less than the target latency only where another forward could still follow.
-Nanos Balance::Parts::timeoutFor(const Hit& hit) const {
-    const auto left = hit.deadline - now;
-    const bool last = static_cast<int>(hit.forwards.size()) + 1 >= forwardsAtMost;
-    if (last || overloaded() || hit.group->effect == Effect::mutating) return left;
-    return std::min(left, groups[static_cast<std::size_t>(hit.group->index)].patience);
-}
-
 // One final answer, at once: a bounce where it may be promised, else an error.
 void Balance::Parts::giveUp(Hit& hit) {
     hit.ended = true;
@@ -421,6 +416,7 @@
     auto& forward = *passage.forward;
     forward.out = false;
     --forward.pod->out;
+    forward.pod->heard = now;
     forward.mayHaveRun = passage.outcome != Outcome::saturated && passage.outcome != Outcome::unreached &&
                          passage.outcome != Outcome::superseded;
     if (passage.closed) passage.hit.ended = true;
@@ -439,6 +435,7 @@
     const bool blame = !well && outcome != Outcome::saturated &&
                        !(outcome == Outcome::errored && onTrial(*forward.build));
     if (well) {
+        done += weight(passage.hit);
         pod.failsInARow = 0;
         if (pod.tries[0] > 8) pod.benchings = 0;
     }
@@ -508,7 +505,7 @@
             pod.failsInARow = pod.benchings = 0;
             pod.benchedUntil = 0;
             pod.coldSpent = 0;
-            pod.coldMark = sentPerPod;
+            pod.coldMark = now;
         }
         pod.build = buildOf(line.build);
         pod.zone = line.zone;
@@ -735,6 +732,18 @@
     door.vote(verdict, told.build, told.stage);
 }
 
+// Once a second: what a warm pod's worth of capacity has lately delivered to this sidecar.
+void Balance::Parts::measure() {
+    if (now < nextSecond) return;
+    nextSecond = now + second;
+    double capacity = 0;
+    for (auto* pod : pods)
+        if (pod->availability == Availability::up) capacity += warmth(*pod);
+    ++secondsSeen;
+    if (capacity > 0) doneRate += (done / capacity - doneRate) / std::min(secondsSeen, 10);
+    done = 0;
+}
+
 void Balance::Parts::renewTick() {
     if (nextTick > now) return;
     nextTick = now + tickEvery;
@@ -829,6 +838,7 @@
         parts.nextPool = parts.now + poolEvery;
         parts.pool();
     }
+    parts.measure();
     parts.castVote();
     parts.renewTick();
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -64,7 +64,9 @@
     Availability availability = Availability::gone;
     Nanos started = std::numeric_limits<Nanos>::min() / 4;  // as listed; long ago if not
     int out = 0;                                            // own forwards out
-    double coldSpent = 0, coldMark = 0;                     // the cold pod's allowance of own work, and when last filled
+    Nanos heard = 0;                                        // when it last ended one, or came to owe one
+    double coldSpent = 0;                                   // the cold pod's allowance of own work
+    Nanos coldMark = 0;                                     // and when it was last filled
     std::array<int, 2> tries{};                             // recent own forwards: well ended, failed
     int failsInARow = 0, benchings = 0;
     Nanos benchedUntil = 0;
