Open hits bounded by the pace of answers in time

A sidecar now keeps no more hits open than its answers in time can clear within half of the target latency; hits at silent pods do not count. Should also guard against slow builds, lost pods and shared slowness. Harm: a pace that falls for another cause bounces hits for up to a second.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,6 +32,8 @@
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.015, flagMargin = 0.004;
 
+constexpr double openPart = 0.5;  // of the target latency: what open hits may come to at the pace of deliveries
+constexpr int paceTicks = 4;      // over which that pace is measured
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
 constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
@@ -165,7 +167,9 @@
     std::vector<Pod*> pods;                                  // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
-    int secondsSeen = 0;
+    int secondsSeen = 0, ticks = 0;
+    std::array<double, paceTicks> paces{};  // by tick: deliveries in time, each as its part of the target latency
+    Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
     Nanos nextSecond = 0;
     std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
     News told;
@@ -189,6 +193,7 @@
 
     // the chain out, and back
     Next take(Passage& passage);
+    Next admit(Passage& passage);
     Next choose(Passage& passage);
     Next send(Passage& passage);
     Next settle(Passage& passage);
@@ -329,7 +334,7 @@
     return coldSpared(hit, pod);
 }
 
-// ---- The chain out: take, choose, send. ----
+// ---- The chain out: take, admit, choose, send. ----
 
 void Balance::Parts::run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain) {
     for (auto stage : chain)
@@ -346,6 +351,24 @@
     return Next::pass;
 }
 
+// Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no more
+// hits are open than the pace of answers in time can clear within a part of the target latency. Hits that hang
+// at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another cause
+// bounces hits for up to a second, down to one hit for every other pod.
+Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
+    if (ticks < 2 * paceTicks) return Next::pass;
+    double open = 0, usable = 0;
+    for (auto* pod : pods)
+        if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
+    double room = 0;
+    for (auto pace : paces) room += pace;
+    room /= static_cast<double>((paceTicks - 1) * tickEvery + tickEvery / 2);
+    if (open < std::max(room, 2 + usable / 2)) return Next::pass;
+    limited = now;
+    giveUp(passage.hit);
+    return Next::end;
+}
+
 // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until it
 // speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show itself.
 bool Balance::Parts::wanted(const Hit& hit, const Pod& pod) const {
@@ -405,7 +428,7 @@
 void Balance::Parts::giveUp(Hit& hit) {
     hit.ended = true;
     if (now < hit.deadline && mayBounce(hit))
-        door.bounce(hit, overloaded() ? advice : 0);
+        door.bounce(hit, overloaded() || limited == now ? advice : 0);
     else
         door.error(hit);
 }
@@ -436,6 +459,8 @@
                        !(outcome == Outcome::errored && onTrial(*forward.build));
     if (well) {
         done += weight(passage.hit);
+        const auto target = passage.hit.group->target;
+        if (passage.took <= target) paces[ticks % paceTicks] += static_cast<double>(target) * openPart;
         pod.failsInARow = 0;
         if (pod.tries[0] > 8) pod.benchings = 0;
     }
@@ -747,6 +772,7 @@
 void Balance::Parts::renewTick() {
     if (nextTick > now) return;
     nextTick = now + tickEvery;
+    paces[++ticks % paceTicks] = 0;
     door.wake(tickEvery);
 }
 
@@ -764,7 +790,7 @@
     if (parts_->askForList) parts_->door.listen();
 }
 
-void Balance::hit(Hit& hit) { parts_->run({hit}, {&Parts::take, &Parts::choose, &Parts::send}); }
+void Balance::hit(Hit& hit) { parts_->run({hit}, {&Parts::take, &Parts::admit, &Parts::choose, &Parts::send}); }
 
 void Balance::head(Forward& forward) { forward.hit->deadline = std::numeric_limits<Nanos>::max(); }
 
