--- /dev/null
+++ b/tests/rules.cpp
@@ -0,0 +1,103 @@
+#include "helper.hpp"
+
+TEST_CASE("a mutating hit goes again only if it never ran") {
+    Scene scene;
+    scene.pod(1, 5), scene.pod(2, 5);
+    scene.end(scene.hit("turned-away", 2), Outcome::unreached);
+    scene.note("an error page promises nothing, so it is no bounce");
+    scene.end(scene.hit("may-have-run", 2), Outcome::errored);
+    scene.matches("mutating");
+}
+
+TEST_CASE("a tagged hit goes again only in its zone and window") {
+    Scene scene;
+    scene.pod(1, 5, 0), scene.pod(2, 5, 0), scene.pod(3, 5, 1);
+    for (int turn = 0; turn < 4; ++turn) {
+        auto& hit = scene.hit("in-zone-" + std::to_string(turn), 1);
+        scene.end(hit, Outcome::errored);
+        if (hit.forwards.size() > 1) CHECK(hit.forwards[0].pod->zone == hit.forwards[1].pod->zone);
+        if (!hit.ended) scene.end(hit, Outcome::delivered);
+    }
+    scene.note("past the window neither a forward nor a bounce");
+    auto& late = scene.hit("late", 1);
+    scene.go(1200 * ms);
+    scene.end(late, Outcome::overdue, 1200 * ms);
+    scene.matches("tagged");
+}
+
+TEST_CASE("nothing goes to a pod that drains or is gone") {
+    Scene scene;
+    scene.pod(1, 5), scene.pod(2, 5);
+    scene.pod(1, 5, 0, Availability::draining);
+    for (int turn = 0; turn < 4; ++turn) scene.end(scene.hit("h" + std::to_string(turn), 0), Outcome::delivered);
+    scene.pod(2, 5, 0, Availability::gone);
+    scene.hit("nowhere", 0);
+    scene.matches("drains");
+}
+
+TEST_CASE("exposure stays within the cap, and a lower cap starts anew") {
+    Scene scene;
+    scene.pod(1, 6);
+    scene.note("build 6 is not announced: cap of the first stage, one half; free 1");
+    for (int turn = 0; turn < 6; ++turn) scene.hit("a" + std::to_string(turn), 0);
+    scene.news(6, 1, Standing::trial, 1);
+    scene.note("cap 1");
+    for (int turn = 0; turn < 3; ++turn) scene.hit("b" + std::to_string(turn), 0);
+    scene.news(6, 1, Standing::goingBack, 0);
+    scene.note("cap 0");
+    scene.hit("c", 0);
+    scene.matches("exposure");
+}
+
+TEST_CASE("exposure counts by path group where it is set so, and closed stages take repeatable hits alone") {
+    auto told = settings();
+    told.perGroup = true;
+    told.closedStages = 1;
+    Scene scene(told);
+    scene.news(6, 0, Standing::trial, 0.5);
+    scene.pod(1, 6);
+    scene.note("orders earn nothing for reads, and stage 0 is closed to them");
+    for (int turn = 0; turn < 4; ++turn) scene.hit("order" + std::to_string(turn), 1);
+    for (int turn = 0; turn < 4; ++turn) scene.hit("read" + std::to_string(turn), 0);
+    scene.news(6, 1, Standing::trial, 0.5);
+    scene.note("stage 1 is open; what the orders earned in stage 0 is theirs, one at most");
+    for (int turn = 0; turn < 2; ++turn) scene.hit("later" + std::to_string(turn), 1);
+    scene.matches("exposure-by-group");
+}
+
+TEST_CASE("a cold pod gets a part of what warm ones deliver, and a quiet sidecar sends it nothing at first") {
+    Scene scene;
+    scene.pod(1, 5), scene.pod(2, 5);
+    scene.pod(3, 5, 0, Availability::up, 0);
+    scene.note("pod 3 has just started and nothing was delivered yet");
+    for (int turn = 0; turn < 20; ++turn) {
+        scene.end(scene.hit("q" + std::to_string(turn), 0), Outcome::delivered);
+        CHECK(scene.hits["q" + std::to_string(turn)].forwards[0].pod->id != 3);
+    }
+    int cold = 0;
+    for (int turn = 0; turn < 200; ++turn) {  // ten hits are open at any time
+        scene.go((1000 + turn * 10) * ms);
+        cold += scene.hit("w" + std::to_string(turn), 0).forwards[0].pod->id == 3;
+        if (turn >= 10) scene.end(scene.hits["w" + std::to_string(turn - 10)], Outcome::delivered, 100 * ms);
+    }
+    // A warm pod delivers up to 50 a second; the cold one may get 1.4 times 0.55 to 0.85 of that.
+    CHECK(cold > 20);
+    CHECK(cold < 80);
+}
+
+TEST_CASE("each hit gets one answer, at once when it is given up, and none after the client has left") {
+    Scene scene;
+    scene.pod(1, 5);
+    auto& late = scene.hit("late", 0, 100 * ms);
+    scene.go(100 * ms);
+    scene.end(late, Outcome::overdue, 100 * ms);
+    auto& left = scene.hit("left", 0);
+    scene.balance->hangup(left);
+    scene.end(left, Outcome::errored);
+    auto& again = scene.hit("again", 0);
+    scene.end(again, Outcome::saturated);
+    scene.end(again, Outcome::saturated);
+    scene.end(again, Outcome::saturated);
+    CHECK(again.ended);
+    scene.matches("answers");
+}
--- /dev/null
+++ b/tests/votes.cpp
@@ -0,0 +1,153 @@
+#include "helper.hpp"
+
+namespace {
+
+std::string counts(std::uint32_t epoch, std::uint32_t seq, std::vector<Pair> pairs, std::uint32_t build = 6) {
+    Message head;
+    head.epoch = epoch, head.seq = seq, head.build = build;
+    return encodeCounts(head, pairs).front();
+}
+
+Pair pair(std::uint32_t newFast, std::uint32_t newBad, std::uint32_t oldFast, std::uint32_t oldBad) {
+    Pair made;
+    made[0].bins[3] = newFast, made[0].bins[latencyBins - 1] = made[0].errored = newBad;
+    made[1].bins[3] = oldFast, made[1].bins[latencyBins - 1] = made[1].errored = oldBad;
+    return made;
+}
+
+// A sidecar of three, so a voter, with build 6 on trial beside build 5.
+struct Trial : Scene {
+    Trial() {
+        news(6, 0, Standing::trial, 0.5);
+        pod(1, 5), pod(2, 6);
+    }
+    void tell(int peer, const std::string& bytes) override {
+        Scene::tell(peer, bytes);
+        if (const auto message = decode(bytes); message && message->kind == Message::Kind::verdict && peer == 1)
+            verdict = message->verdict;
+    }
+    std::uint32_t verdict = 0;
+};
+
+}  // namespace
+
+TEST_CASE("both bounds have the paper's means") {
+    std::mt19937 chance(3);
+    const std::vector<double> x{3, 2, 1}, y{1, 2, 3};
+    const double s = std::sqrt(2.0) - 1, n = 6, m = 6;
+    const double u = 3 * (1 / 2.0 + 2 + 3) + 2 * (2 / 2.0 + 3) + 1 * (3 / 2.0);  // pairs with X before Y, ties half
+    const auto bounds = rankTest(x, y, 0.5, 40000, chance);
+    CHECK(bounds.lowerMean == doctest::Approx(u / ((s + n) * (s + m))).epsilon(0.01));
+    CHECK(bounds.upperMean == doctest::Approx((u + s * s + s * n + s * m) / ((s + n) * (s + m))).epsilon(0.01));
+    CHECK(bounds.lowerChance < bounds.upperChance);
+}
+
+TEST_CASE("with no outcome at all the bounds are 0 and 1, and one sure pair leaves the sides of a coin") {
+    std::mt19937 chance(3);
+    const auto none = rankTest({0, 0}, {0, 0}, 0.4, 200, chance);
+    CHECK(none.lowerMean == 0);
+    CHECK(none.upperMean == doctest::Approx(1));
+    CHECK(none.lowerChance == 0);
+    CHECK(none.upperChance == 1);
+    const auto one = rankTest({1, 0}, {0, 1}, 0.4, 40000, chance);
+    CHECK(one.lowerMean == doctest::Approx(0.5).epsilon(0.02));  // 1 / (1 + s)^2 with s = sqrt(2) - 1
+}
+
+TEST_CASE("voters vote on, back, or abstain until the timer") {
+    Trial good;
+    good.balance->heard(1, counts(9, 1, {pair(60, 0, 300, 0)}));
+    good.note("a good build, and the news of the next stage");
+    good.news(6, 1, Standing::trial, 1);
+    Trial bad;
+    bad.balance->heard(1, counts(9, 1, {pair(5, 40, 300, 0)}));
+    bad.news(6, 1, Standing::trial, 1);
+    Trial few;
+    few.balance->heard(1, counts(9, 1, {pair(10, 0, 10, 0)}));
+    few.note("too few outcomes: nothing, until three seconds after the first one");
+    few.go(6000 * ms);
+    good.tape << bad.tape.str() << few.tape.str();
+    good.matches("voters");
+}
+
+TEST_CASE("a failing path group that hides in the ranks of the whole sends the build back") {
+    Trial trial;
+    trial.balance->heard(1, counts(9, 1, {pair(400, 0, 1000, 1), pair(30, 20, 200, 0)}));
+    CHECK(trial.verdict == static_cast<std::uint32_t>(Verdict::back));
+    trial.note("and it stands");
+    trial.go(1000 * ms);
+    trial.balance->heard(1, counts(9, 2, {pair(4000, 0, 10000, 1), pair(3000, 20, 9000, 0)}));
+    CHECK(trial.verdict == static_cast<std::uint32_t>(Verdict::back));
+}
+
+TEST_CASE("flagged answers send a build back, also after its release") {
+    Trial trial;
+    auto flags = pair(400, 0, 1000, 0);
+    flags[0].flagged = 14;
+    trial.news(6, 1, Standing::released, 1);
+    trial.balance->heard(1, counts(9, 1, {flags}));
+    trial.matches("flagged");
+}
+
+TEST_CASE("repeated, late and malformed messages and restarted senders do not corrupt the sum") {
+    Trial trial;
+    trial.balance->heard(1, counts(9, 2, {pair(9, 0, 15, 0)}));
+    for (int turn = 0; turn < 5; ++turn) trial.balance->heard(1, counts(9, 2, {pair(9, 0, 15, 0)}));
+    trial.balance->heard(1, counts(9, 1, {pair(8, 0, 14, 0)}));
+    trial.balance->heard(1, "\x01");
+    trial.balance->heard(1, "\x07\x01\x01\x01\x01\x01");
+    trial.balance->heard(1, counts(9, 3, {pair(90, 0, 90, 0)}).substr(0, 20));
+    trial.balance->heard(7, counts(9, 3, {pair(90, 0, 90, 0)}));
+    trial.balance->heard(1, counts(9, 3, {pair(90, 0, 90, 0)}, 4));
+    trial.go(1000 * ms);
+    CHECK(trial.verdict == 0);
+    trial.note("restarted: its new counts come on top, late ones from before do not; 18 and 30 are too few");
+    trial.balance->heard(1, counts(11, 1, {pair(9, 0, 15, 0)}));
+    trial.balance->heard(1, counts(9, 4, {pair(80, 0, 80, 0)}));
+    trial.go(2000 * ms);
+    CHECK(trial.verdict == 0);
+    trial.balance->heard(1, counts(11, 2, {pair(29, 0, 35, 0)}));
+    trial.go(2500 * ms);
+    CHECK(trial.verdict == static_cast<std::uint32_t>(Verdict::on));
+}
+
+TEST_CASE("a voter that restarts has the senders' sums again with their next message") {
+    Trial trial;
+    trial.start();
+    trial.pods.clear();
+    trial.news(6, 0, Standing::trial, 0.5);
+    trial.pod(1, 5), trial.pod(2, 6);
+    trial.balance->heard(2, counts(4, 40, {pair(60, 0, 300, 0)}));
+    trial.matches("voter-restart");
+}
+
+TEST_CASE("others echo what most of their voters say, and renew it") {
+    auto told = settings();
+    told.balancers = 8;
+    std::string tapes;
+    int echoed = 0;
+    for (int index = 0; index < 8; ++index) {
+        told.index = index;
+        Scene scene(told);
+        scene.news(6, 0, Standing::trial, 0.5);
+        scene.pod(1, 5), scene.pod(2, 6);
+        Message message;
+        message.kind = Message::Kind::verdict;
+        message.epoch = 3, message.seq = 1, message.build = 6, message.verdict = 3;
+        int heard = 0;
+        for (int peer = 0; peer < 8; ++peer)
+            if (peer != index) {
+                scene.balance->heard(peer, encode(message));
+                ++heard;
+            }
+        if (scene.tape.str().find("vote back") != std::string::npos) {
+            ++echoed;
+            scene.balance->news(6, 0, Standing::trial, true, Outcome::delivered, 0.5, 0);
+            scene.go(3500 * ms);
+            if (tapes.empty()) tapes = scene.tape.str();
+        }
+    }
+    CHECK(echoed == 5);  // the three voters judge for themselves
+    Scene kept;
+    kept.tape << tapes;
+    kept.matches("echo");
+}
