Open hits up to 0.4 of the target latency at a pace over two seconds

Cause: a pace taken over one second fell to nothing in a gap of answers and bounced hits that pods had room for.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,8 +32,8 @@
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.015, flagMargin = 0.004;
 
-constexpr double openPart = 0.35;  // of the target latency: what open hits may come to at the pace of deliveries
-constexpr int paceTicks = 4;      // over which that pace is measured
+constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
+constexpr int paceTicks = 8;      // over which that pace is measured
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
 constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
