--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -356,7 +356,7 @@
 // at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another cause
 // bounces hits for up to a second, down to one hit for every other pod.
 Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
-    if (ticks < 2 * paceTicks) return Next::pass;
+    if (ticks < paceTicks) return Next::pass;
     double open = 0, usable = 0;
     for (auto* pod : pods)
         if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
