Errors and flagged answers are tested over all path groups too, at a margin of 0.006

What else: any build whose errors spread over path groups. Harm: errors that strike the new build's pods by chance look like the build's.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -26,11 +26,11 @@
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
-constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95;
+constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
-constexpr double lateMargin = 0.1, errorMargin = 0.015, flagMargin = 0.004;
+constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
 constexpr int paceTicks = 8;      // over which that pace is measured
@@ -114,6 +114,11 @@
         Nanos fresh = std::numeric_limits<Nanos>::min() / 4;  // when counts last came in
 
         double all() const { return total(bins); }
+        void add(const Side& other, double part) {
+            for (int bin = 0; bin < latencyBins; ++bin) bins[bin] += other.bins[bin] * part;
+            errored += other.errored * part, flagged += other.flagged * part;
+            fresh = std::max(fresh, other.fresh);
+        }
     };
 
     struct Heard {
@@ -216,6 +221,7 @@
     void pool();
     void absorb(int peer, const Message& message);
     void judge();
+    bool worse(const Side& newer, const Side& earlier, bool beside);
     Verdict verdictNow();
     Verdict echo() const;
     void tellVerdict();
@@ -662,6 +668,20 @@
     castVote();
 }
 
+// One side by side look at a new build and an earlier one, over one path group or over all.
+bool Balance::Parts::worse(const Side& newer, const Side& earlier, bool beside) {
+    const double n = newer.all(), m = earlier.all();
+    if (n < leastOutcomes || m < leastOutcomes) return false;
+    const auto fails = [&](const Bins& x, const Bins& y, double bar) {
+        return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
+    };
+    const auto two = [](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
+    if (fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2)) return true;
+    if (fails(two(newer.flagged, n), two(earlier.flagged, m), 0.5 - flagMargin / 2)) return true;
+    return beside && (fails(newer.bins, earlier.bins, backBar) ||
+                      fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
+}
+
 Verdict Balance::Parts::verdictNow() {
     const bool released = told.build == trial.build && told.standing == Standing::released;
     // The design's ranks over all path groups; the earlier side is mixed as the new build's hits are, since
@@ -669,41 +689,24 @@
     double most = 0;
     for (const auto& sum : trial.sums)
         if (sum[1].all() > 0) most = std::max(most, sum[0].all() / sum[1].all());
-    Bins x(latencyBins), y(latencyBins);
-    double flaggedX = 0, flaggedY = 0;
-    Nanos fresh = std::numeric_limits<Nanos>::min() / 4;
+    Side x, y;
     bool back = false;
     for (const auto& [newer, earlier] : trial.sums) {
         const double n = newer.all(), m = earlier.all();
         if (n <= 0 || m <= 0) continue;
-        for (int bin = 0; bin < latencyBins; ++bin) {
-            x[bin] += newer.bins[bin];
-            y[bin] += earlier.bins[bin] * (n / m) / most;
-        }
-        flaggedX += newer.flagged, flaggedY += earlier.flagged * (n / m) / most;
-        fresh = std::max(fresh, earlier.fresh);
-        if (n < leastOutcomes || m < leastOutcomes) continue;
-        // Exception: a failing path group holds few ranks of the whole. The same test on that group's ranks, and
-        // on its ranks coarsened to two (in time or not; errored or not), gives 'back' if no draw passes the bar.
-        const auto fails = [&](const Bins& one, const Bins& other, double bar) {
-            return rankTest(one, other, bar, draws, chance).upperChance <= 0;
-        };
-        const auto two = [&](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
-        const bool beside = now - earlier.fresh <= 2 * poolEvery && !released;
-        back = back || fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2);
-        if (!beside) continue;
-        back = back || fails(newer.bins, earlier.bins, backBar);
-        back = back || fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2);
+        x.add(newer, 1);
+        y.add(earlier, n / m / most);
+        // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few for
+        // any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in time
+        // against not), votes back if hardly a draw passes the bar.
+        back = back || worse(newer, earlier, now - earlier.fresh <= 2 * poolEvery && !released);
     }
-    if (back) return Verdict::back;
-    if (const double n = total(x), m = total(y); n >= leastOutcomes && m >= leastOutcomes) {
-        // Exception: wrong answers show late and in part, far too few for ranks; flagged or not is a rank too.
-        const Bins flagsX{std::max(n - flaggedX, 0.0), flaggedX}, flagsY{std::max(m - flaggedY, 0.0), flaggedY};
-        if (rankTest(flagsX, flagsY, 0.5 - flagMargin / 2, draws, chance).upperChance <= 0) return Verdict::back;
-        if (released) return Verdict::none;
-        if (now - fresh <= 2 * poolEvery && rankTest(x, y, backBar, draws, chance).upperChance < 1 - sure)
-            return Verdict::back;
-        if (!clocked && rankTest(x, y, onBar, draws, chance).lowerChance > sure) return Verdict::on;
+    const bool beside = now - y.fresh <= 2 * poolEvery && !released;
+    if (back || worse(x, y, beside)) return Verdict::back;
+    if (released) return Verdict::none;
+    if (x.all() >= leastOutcomes && y.all() >= leastOutcomes) {
+        if (beside && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure) return Verdict::back;
+        if (!clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
     }
     if (clocked) {
         const bool young = told.build == trial.build && now - told.since < undecidedFor;
