All pods against the time before the build: abstain while slower, back if it lasts

The same test now ranks answers of late against those before the build came. Should also keep a jam from being a time to go on. Harm: a long burst inside a later stage takes a good build off.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -28,9 +28,11 @@
 constexpr int draws = 200;
 constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
+constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
+constexpr double slowBar = 0.4, slowMargin = 0.05;  // of all pods, against the time before the build
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
 constexpr int paceTicks = 8;      // over which that pace is measured
@@ -105,7 +107,7 @@
     struct Sender {
         std::uint32_t epoch = 0, before = 0;
         std::vector<std::uint32_t> seq;
-        std::vector<Pair> last;
+        std::vector<Tallies> last;
     };
 
     struct Side {
@@ -130,13 +132,16 @@
     // The newest build and what is known of it.
     struct Trial {
         int build = -1;
-        std::vector<Pair> own;                  // counted here, since the build was first seen
+        std::vector<Tallies> own;                  // counted here, since the build was first seen
         Nanos counted = -1;                     // when its first outcome was counted here or came from a sender
         std::vector<int> voters;
         std::vector<Sender> senders;            // by peer; used by voters
-        std::vector<std::array<Side, 2>> sums;  // by path group: new, earlier
+        std::vector<std::array<Side, 3>> sums;  // by path group: new, earlier, before
+        std::vector<Side> lately;               // by path group: all builds, halved at each pooling
         std::vector<Heard> verdicts;            // by peer
         Verdict verdict = Verdict::none;        // as voter
+        Nanos slowSince = -1;                   // all pods slower than before the build came
+        bool slowAnyway = false;                // and that is not the build's doing
         Nanos judged = std::numeric_limits<Nanos>::min() / 4;
     };
 
@@ -161,7 +166,7 @@
     int me, balancers, forwardsAtMost, closedStages;
     bool mayTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
-    Nanos coldTime, silentAfter, countAfter, renewAfter, answerWait, rateGap, advice;
+    Nanos coldTime, silentAfter, slowFor, countAfter, renewAfter, answerWait, rateGap, advice;
     std::vector<Group> groups;
 
     // state
@@ -179,6 +184,7 @@
     std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
     News told;
     Trial trial;
+    std::vector<Tallies> calm;  // the last place: outcomes since start, halved from time to time
     Cast cast;
 
     // rules
@@ -221,6 +227,9 @@
     void pool();
     void absorb(int peer, const Message& message);
     void judge();
+    using Sides = std::vector<std::pair<const Side*, const Side*>>;
+    static std::pair<Side, Side> mixed(const Sides& sides);
+    bool slowerThanBefore(const Side& lately, const Side& before);
     bool worse(const Side& newer, const Side& earlier, bool beside);
     Verdict verdictNow();
     Verdict echo() const;
@@ -255,6 +264,8 @@
     rateGap = static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
     advice = told.adviseRetry ? told.maxRetryAfter : 0;
     silentAfter = second;
+    calm.resize(told.groups.size());
+    slowFor = coldTime + poolEvery;
     for (const auto& group : told.groups) {
         silentAfter = std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
         Group made;
@@ -566,7 +577,9 @@
     trial = Trial{};
     trial.build = build;
     const auto n = static_cast<std::size_t>(balancers);
-    trial.own.resize(groups.size());
+    trial.own = calm;
+    calm.assign(groups.size(), {});
+    trial.lately.resize(groups.size());
     trial.senders.resize(n);
     for (auto& sender : trial.senders) sender.seq.resize(groups.size()), sender.last.resize(groups.size());
     trial.sums.resize(groups.size());
@@ -597,6 +610,9 @@
     }
     ++tally.bins[static_cast<std::size_t>(bin)];
     if (outcome == Outcome::errored) ++tally.errored;
+    auto& past = calm[group].back().bins;
+    if (++past[static_cast<std::size_t>(bin)] >= calmHalveAt)
+        for (auto& some : past) some /= 2;
     if (isNew && trial.counted < 0) trial.counted = now;
 }
 
@@ -611,7 +627,7 @@
     const auto messages = encodeCounts(head, trial.own);
     for (int voter : trial.voters) {
         if (voter == me) {
-            head.pairs = trial.own;
+            head.groups = trial.own;
             absorb(me, head);
         } else if (mayTell) {
             for (const auto& bytes : messages) door.tell(voter, bytes);
@@ -620,6 +636,8 @@
     if (std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end()) {
         judge();
         tellVerdict();
+        for (auto& side : trial.lately)
+            for (auto& bin : side.bins) bin /= 2;
     }
 }
 
@@ -630,20 +648,21 @@
         sender.before = sender.epoch;
         sender.epoch = message.epoch;
         std::fill(sender.seq.begin(), sender.seq.end(), 0);
-        std::fill(sender.last.begin(), sender.last.end(), Pair{});
+        std::fill(sender.last.begin(), sender.last.end(), Tallies{});
     }
-    for (std::size_t at = 0; at < message.pairs.size(); ++at) {
+    for (std::size_t at = 0; at < message.groups.size(); ++at) {
         const auto group = message.firstGroup + at;
         if (group >= groups.size() || message.seq <= sender.seq[group]) continue;
         sender.seq[group] = message.seq;
-        for (int which = 0; which < 2; ++which) {
-            const auto& came = message.pairs[at][which];
+        for (std::size_t which = 0; which < message.groups[at].size(); ++which) {
+            const auto& came = message.groups[at][which];
             const auto& had = sender.last[group][which];
             auto& side = trial.sums[group][which];
             double grew = 0;
             for (int bin = 0; bin < latencyBins; ++bin) {
                 const double more = came.bins[bin] > had.bins[bin] ? came.bins[bin] - had.bins[bin] : 0;
                 side.bins[bin] += more;
+                if (which < 2) trial.lately[group].bins[bin] += more;
                 grew += more;
             }
             side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
@@ -682,32 +701,64 @@
                       fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
 }
 
-Verdict Balance::Parts::verdictNow() {
-    const bool released = told.build == trial.build && told.standing == Standing::released;
-    // The design's ranks over all path groups; the earlier side is mixed as the new build's hits are, since
-    // some stages are closed to some path groups.
+// Sums over all path groups; the second side is mixed as the first one's hits are, since some stages are closed
+// to some path groups, and the mix of hits changes.
+std::pair<Balance::Parts::Side, Balance::Parts::Side> Balance::Parts::mixed(const Sides& sides) {
     double most = 0;
-    for (const auto& sum : trial.sums)
-        if (sum[1].all() > 0) most = std::max(most, sum[0].all() / sum[1].all());
+    for (const auto& [one, other] : sides)
+        if (other->all() > 0) most = std::max(most, one->all() / other->all());
     Side x, y;
+    for (const auto& [one, other] : sides) {
+        if (one->all() <= 0 || other->all() <= 0) continue;
+        x.add(*one, 1);
+        y.add(*other, one->all() / other->all() / most);
+    }
+    return {x, y};
+}
+
+// Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new against
+// earlier then show nothing. So the same test ranks all answers of late against those before the build came.
+// While these are slower, voters abstain and the timer waits; if that lasts longer than pods take to warm, it is
+// 'back', unless it already held in the first stage, whose traffic is too little to slow a fleet. Also guards
+// against going on in a jam. Harm: a burst or slow spell of that length in a later stage takes a good build off.
+bool Balance::Parts::slowerThanBefore(const Side& lately, const Side& before) {
+    const double n = lately.all(), m = before.all();
+    if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
+    if (rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain) return true;
+    const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]}, y{m - before.bins[lastBin], before.bins[lastBin]};
+    return rankTest(x, y, 0.5 - slowMargin / 2, draws, chance).upperChance < 1 - certain;
+}
+
+Verdict Balance::Parts::verdictNow() {
+    const bool released = told.build == trial.build && told.standing == Standing::released;
     bool back = false;
-    for (const auto& [newer, earlier] : trial.sums) {
-        const double n = newer.all(), m = earlier.all();
-        if (n <= 0 || m <= 0) continue;
-        x.add(newer, 1);
-        y.add(earlier, n / m / most);
+    Sides present, past;
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        const auto& [newer, earlier, before] = trial.sums[group];
+        present.emplace_back(&newer, &earlier);
+        past.emplace_back(&trial.lately[group], &before);
         // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few for
         // any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in time
         // against not), votes back if hardly a draw passes the bar.
         back = back || worse(newer, earlier, now - earlier.fresh <= 2 * poolEvery && !released);
     }
+    const auto [x, y] = mixed(present);
     const bool beside = now - y.fresh <= 2 * poolEvery && !released;
     if (back || worse(x, y, beside)) return Verdict::back;
     if (released) return Verdict::none;
-    if (x.all() >= leastOutcomes && y.all() >= leastOutcomes) {
-        if (beside && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure) return Verdict::back;
-        if (!clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
+    const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes;
+    if (enough && beside && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
+        return Verdict::back;
+    const auto [these, those] = mixed(past);
+    if (slowerThanBefore(these, those)) {
+        if (trial.slowSince < 0) trial.slowSince = now;
+        if (now - trial.slowSince < slowFor) return Verdict::none;
+        if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
+        trial.slowAnyway = true;
+    } else {
+        trial.slowSince = -1;
     }
+    if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
     if (clocked) {
         const bool young = told.build == trial.build && now - told.since < undecidedFor;
         return young ? Verdict::hold : Verdict::none;
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -3,7 +3,7 @@
 namespace lichenlanding {
 namespace {
 
-constexpr unsigned char version = 1;
+constexpr unsigned char version = 2;
 
 void put(std::string& to, std::uint32_t value) {
     while (value >= 0x80) {
@@ -61,17 +61,17 @@
 
 std::string encode(const Message& message) {
     std::string bytes = head(message);
-    for (const auto& pair : message.pairs)
-        for (const auto& tally : pair) put(bytes, tally);
+    for (const auto& tallies : message.groups)
+        for (const auto& tally : tallies) put(bytes, tally);
     return bytes;
 }
 
-std::vector<std::string> encodeCounts(Message message, const std::vector<Pair>& pairs) {
+std::vector<std::string> encodeCounts(Message message, const std::vector<Tallies>& groups) {
     std::vector<std::string> all;
     std::string bytes;
-    for (std::size_t group = 0; group < pairs.size(); ++group) {
+    for (std::size_t group = 0; group < groups.size(); ++group) {
         std::string one;
-        for (const auto& tally : pairs[group]) put(one, tally);
+        for (const auto& tally : groups[group]) put(one, tally);
         if (!bytes.empty() && bytes.size() + one.size() > maxMessage) {
             all.push_back(std::move(bytes));
             bytes.clear();
@@ -103,9 +103,9 @@
     } else {
         message.firstGroup = last;
         while (reader.good && reader.at < bytes.size()) {
-            Pair pair;
-            for (auto& tally : pair) tally = reader.tally();
-            message.pairs.push_back(pair);
+            Tallies tallies;
+            for (auto& tally : tallies) tally = reader.tally();
+            message.groups.push_back(tallies);
         }
     }
     if (!reader.good) return {};
--- a/src/gossip.hpp
+++ b/src/gossip.hpp
@@ -18,7 +18,8 @@
     std::uint32_t errored = 0, flagged = 0;         // of those in the last bin, outright errors and flagged ones
 };
 
-using Pair = std::array<Tally, 2>;  // of the build on trial, of the earlier builds
+// Of the build on trial, of the earlier builds meanwhile, and of all builds before it was first seen.
+using Tallies = std::array<Tally, 3>;
 
 struct Message {
     enum class Kind : std::uint8_t { counts = 1, verdict = 2 };
@@ -28,13 +29,13 @@
     std::uint32_t build = 0;
     std::uint32_t verdict = 0;
     std::uint32_t firstGroup = 0;
-    std::vector<Pair> pairs;
+    std::vector<Tallies> groups;
 };
 
 std::string encode(const Message& message);
 
 // As many messages as the path groups need, each within the limit.
-std::vector<std::string> encodeCounts(Message head, const std::vector<Pair>& pairs);
+std::vector<std::string> encodeCounts(Message head, const std::vector<Tallies>& groups);
 
 // Nothing if the bytes are malformed, cut short or of an unknown version.
 std::optional<Message> decode(const std::string& bytes);
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -2,14 +2,14 @@
 
 namespace {
 
-std::string counts(std::uint32_t epoch, std::uint32_t seq, std::vector<Pair> pairs, std::uint32_t build = 6) {
+std::string counts(std::uint32_t epoch, std::uint32_t seq, std::vector<Tallies> pairs, std::uint32_t build = 6) {
     Message head;
     head.epoch = epoch, head.seq = seq, head.build = build;
     return encodeCounts(head, pairs).front();
 }
 
-Pair pair(std::uint32_t newFast, std::uint32_t newBad, std::uint32_t oldFast, std::uint32_t oldBad) {
-    Pair made;
+Tallies pair(std::uint32_t newFast, std::uint32_t newBad, std::uint32_t oldFast, std::uint32_t oldBad) {
+    Tallies made;
     made[0].bins[3] = newFast, made[0].bins[latencyBins - 1] = made[0].errored = newBad;
     made[1].bins[3] = oldFast, made[1].bins[latencyBins - 1] = made[1].errored = oldBad;
     return made;
@@ -151,3 +151,17 @@
     kept.tape << tapes;
     kept.matches("echo");
 }
+
+TEST_CASE("a build that slows all pods in a later stage is waited for, then sent back") {
+    Trial trial;
+    trial.balance->heard(1, counts(9, 1, {Tallies{pair(30, 0, 100, 0)[0], pair(30, 0, 100, 0)[1], pair(200, 0, 0, 0)[0]}}));
+    trial.news(6, 1, Standing::trial, 1);
+    auto slow = Tallies{pair(30, 0, 0, 0)[0], pair(100, 0, 0, 0)[0], pair(200, 0, 0, 0)[0]};
+    trial.note("new and earlier pods alike are slower than before the build came");
+    for (std::uint32_t turn = 1; turn <= 8; ++turn) {
+        for (int side : {0, 1}) slow[side].bins[6] += 60;
+        trial.balance->heard(1, counts(9, 1 + turn, {slow}));
+        trial.go(turn * 1000 * ms);
+    }
+    trial.matches("slower-than-before");
+}
