--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,11 +32,10 @@
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
-constexpr double slowBar = 0.35, slowMargin = 0.05;  // of all pods, against the time before the build
+constexpr double slowBar = 0.4, slowMargin = 0.05;  // of all pods, against the time before the build
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
 constexpr int paceTicks = 8;      // over which that pace is measured
-constexpr double steadyKept = 0.97;  // of that, from tick to tick when the pace falls
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
 constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
@@ -178,7 +177,6 @@
     std::vector<Pod*> pods;                                  // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
-    double steady = 0;  // the room that the pace gave, forgotten slowly
     int secondsSeen = 0, ticks = 0;
     std::array<double, paceTicks> paces{};  // by tick: deliveries in time, each as its part of the target latency
     Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
@@ -387,8 +385,7 @@
     double open = 0, usable = 0;
     for (auto* pod : pods)
         if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
-    const double room = paceRoom();
-    if (open < std::max({room, steady, 2 + usable / 2})) return Next::pass;
+    if (open < std::max(paceRoom(), 2 + usable / 2)) return Next::pass;
     limited = now;
     giveUp(passage.hit);
     return Next::end;
@@ -835,7 +832,6 @@
 void Balance::Parts::renewTick() {
     if (nextTick > now) return;
     nextTick = now + tickEvery;
-    steady = std::max(steady * steadyKept, paceRoom());
     paces[++ticks % paceTicks] = 0;
     door.wake(tickEvery);
 }
