--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -476,9 +476,8 @@
     count(forward, outcome, passage.took);
     pod.sampled = false;
     const bool well = outcome == Outcome::delivered;
-    // A bad build's errors are for the vote to judge: benching its pods would hide the evidence.
-    const bool blame = !well && outcome != Outcome::saturated &&
-                       !(outcome == Outcome::errored && onTrial(*forward.build));
+    // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look like its own.
+    const bool blame = !well && outcome != Outcome::saturated;
     if (well) {
         done += weight(passage.hit);
         const auto target = passage.hit.group->target;
