--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -22,7 +22,8 @@
 constexpr Nanos tickEvery = 250 * ms;     // how often votes and timers are looked at
 constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
 constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
-constexpr Nanos undecidedFor = 3 * second;
+constexpr Nanos skipFirst = 2 * second;   // after a pod's start nothing counts
+constexpr Nanos undecidedFor = 1500 * ms;
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
@@ -259,7 +260,7 @@
     coldFrom = told.coldFrom;
     coldExcess = std::max(1.0, told.fallMultiple * coldPart);
     coldTime = told.coldTime;
-    countAfter = std::max(2 * second, coldTime * 3 / 4);
+    countAfter = std::max(skipFirst, coldTime * 3 / 4);
     renewAfter = told.voteLife / 2;
     answerWait = told.answerWait;
     rateGap = static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
@@ -603,9 +604,12 @@
 void Balance::Parts::count(const Forward& forward, Outcome outcome, Nanos took) {
     if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
     if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
-    if (forward.sent - forward.pod->started < countAfter) return;
-    const auto group = static_cast<std::size_t>(forward.hit->group->index);
+    const auto age = forward.sent - forward.pod->started;
+    if (age < skipFirst) return;
     const bool isNew = forward.build->number == trial.build;
+    if (isNew && trial.counted < 0) trial.counted = now;
+    if (age < countAfter) return;
+    const auto group = static_cast<std::size_t>(forward.hit->group->index);
     auto& tally = trial.own[group][isNew ? 0 : 1];
     int bin = lastBin;
     if (outcome == Outcome::delivered) {
@@ -617,7 +621,6 @@
     auto& past = calm[group].back().bins;
     if (++past[static_cast<std::size_t>(bin)] >= calmHalveAt)
         for (auto& some : past) some /= 2;
-    if (isNew && trial.counted < 0) trial.counted = now;
 }
 
 // Every two seconds the counts go to the voters. Each message carries the sums since the build was seen, of
