--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -406,7 +406,7 @@
     std::vector<Pod*> best;
     int bestRank = 8;
     for (auto* pod : pods) {
-        int rank = wanted(hit, *pod) ? 0 : 1;
+        int rank = wanted(hit, *pod) && now >= pod->fullUntil ? 0 : 1;
         if (further && pod == hit.forwards.back().pod) rank += 2;
         if (further && onTrial(*pod->build)) rank += 4;
         if (rank > bestRank || !lawful(hit, *pod)) continue;
@@ -474,6 +474,8 @@
     auto& pod = *forward.pod;
     const auto outcome = passage.outcome;
     if (outcome == Outcome::superseded || outcome == Outcome::recalled) return Next::pass;
+    // A full pod answers at once and so looks idle by own load: it would draw all hits. It rests for a moment.
+    if (outcome == Outcome::saturated) pod.fullUntil = now + silentAfter;
     count(forward, outcome, passage.took);
     pod.sampled = false;
     const bool well = outcome == Outcome::delivered;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -69,7 +69,7 @@
     Nanos coldMark = 0;                                     // and when it was last filled
     std::array<int, 2> tries{};                             // recent own forwards: well ended, failed
     int failsInARow = 0, benchings = 0;
-    Nanos benchedUntil = 0;
+    Nanos benchedUntil = 0, fullUntil = 0;
     bool sampled = false;  // a forward is out that decides whether the pod comes back
 };
 
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -66,3 +66,17 @@
     CHECK(kept > 35);
     CHECK(kept < 70);
 }
+
+TEST_CASE("a full pod answers at once and looks idle, so it rests for a moment") {
+    Scene scene;
+    for (std::uint32_t id = 1; id <= 4; ++id) scene.pod(id, 5);
+    int full = 0, turn = 0;
+    for (; turn < 40; ++turn) {  // open hits fill the other pods, and pod 2 turns away all it gets
+        auto& hit = scene.hit("h" + std::to_string(turn), 0);
+        if (hit.forwards.back().pod->id != 2) continue;
+        ++full;
+        scene.end(hit, Outcome::saturated);
+        CHECK(hit.forwards.back().pod->id != 2);
+    }
+    CHECK(full == 1);
+}
