--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,7 +23,7 @@
 constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
 constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
 constexpr Nanos skipFirst = 2 * second;   // after a pod's start nothing counts
-constexpr Nanos undecidedFor = 1500 * ms;
+constexpr Nanos undecidedFor = 1000 * ms;
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
@@ -225,6 +225,7 @@
 
     // the trial
     void newest(int build);
+    bool isVoter() const { return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end(); }
     void count(const Forward& forward, Outcome outcome, Nanos took);
     void pool();
     void absorb(int peer, const Message& message);
@@ -642,7 +643,7 @@
             for (const auto& bytes : messages) door.tell(voter, bytes);
         }
     }
-    if (std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end()) {
+    if (isVoter()) {
         judge();
         tellVerdict();
         for (auto& side : trial.lately)
@@ -802,8 +803,7 @@
 
 void Balance::Parts::castVote() {
     if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
-    const bool voter = std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
-    auto verdict = voter ? trial.verdict : echo();
+    auto verdict = isVoter() ? trial.verdict : echo();
     if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
     if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn) verdict = Verdict::none;
     const bool anyStage = verdict == Verdict::back || verdict == Verdict::none;
@@ -879,8 +879,7 @@
     if (!message || peer >= parts.balancers || peer == parts.me) return;
     if (static_cast<int>(message->build) != parts.trial.build) return;
     if (message->kind == Message::Kind::counts) {
-        if (std::find(parts.trial.voters.begin(), parts.trial.voters.end(), parts.me) == parts.trial.voters.end())
-            return;
+        if (!parts.isVoter()) return;
         parts.absorb(peer, *message);
         if (parts.now - parts.trial.judged >= judgeAtMost) parts.judge();
         return;
@@ -929,6 +928,8 @@
         parts.pool();
     }
     parts.measure();
+    const bool undecided = parts.trial.verdict == Verdict::none && parts.trial.counted >= 0;
+    if (undecided && parts.isVoter() && parts.now - parts.trial.judged >= judgeAtMost) parts.judge();
     parts.castVote();
     parts.renewTick();
 }
