No 'on' in the last stage before its own pods have had time to warm

Cause: in the last stage 'on' stood before the stage's pods took any traffic, so a build that is slow under load or slows all was released unseen. Should also guard against going on in a jam. Harm: a good build is released about two seconds later; under rolling replacement it has all traffic by then.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,7 +23,7 @@
 constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
 constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
 constexpr Nanos skipFirst = 2 * second;   // after a pod's start nothing counts
-constexpr Nanos undecidedFor = 1000 * ms;
+constexpr Nanos undecidedFor = 1500 * ms;
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
@@ -164,7 +164,7 @@
     // figures
     Door& door;
     std::mt19937 chance;
-    int me, balancers, forwardsAtMost, closedStages;
+    int me, balancers, forwardsAtMost, closedStages, lastStage;
     bool mayTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
     Nanos coldTime, silentAfter, slowFor, countAfter, renewAfter, answerWait, rateGap, advice;
@@ -251,6 +251,7 @@
     balancers = std::max(told.balancers, 1);
     forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
     closedStages = told.closedStages;
+    lastStage = static_cast<int>(told.caps.size()) - 1;
     mayTell = told.mayTell;
     askForList = told.askForList;
     perGroup = told.perGroup;
@@ -769,6 +770,10 @@
     } else {
         trial.slowSince = -1;
     }
+    // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what shows
+    // only with all traffic (a build slow under load, or slowing all) would be released unseen.
+    if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < slowFor)
+        return Verdict::none;
     if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
     if (clocked) {
         const bool young = told.build == trial.build && now - told.since < undecidedFor;
