--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -63,7 +63,7 @@
     bad.news(6, 1, Standing::trial, 1);
     Trial few;
     few.balance->heard(1, counts(9, 1, {pair(10, 0, 10, 0)}));
-    few.note("too few outcomes: nothing, until three seconds after the first one");
+    few.note("too few outcomes: nothing, until the undecided timer after the first one");
     few.go(6000 * ms);
     good.tape << bad.tape.str() << few.tape.str();
     good.matches("voters");
@@ -98,15 +98,15 @@
     trial.balance->heard(1, counts(9, 3, {pair(90, 0, 90, 0)}).substr(0, 20));
     trial.balance->heard(7, counts(9, 3, {pair(90, 0, 90, 0)}));
     trial.balance->heard(1, counts(9, 3, {pair(90, 0, 90, 0)}, 4));
-    trial.go(1000 * ms);
+    trial.go(500 * ms);
     CHECK(trial.verdict == 0);
     trial.note("restarted: its new counts come on top, late ones from before do not; 18 and 30 are too few");
     trial.balance->heard(1, counts(11, 1, {pair(9, 0, 15, 0)}));
     trial.balance->heard(1, counts(9, 4, {pair(80, 0, 80, 0)}));
-    trial.go(2000 * ms);
+    trial.go(900 * ms);
     CHECK(trial.verdict == 0);
     trial.balance->heard(1, counts(11, 2, {pair(29, 0, 35, 0)}));
-    trial.go(2500 * ms);
+    trial.go(1400 * ms);
     CHECK(trial.verdict == static_cast<std::uint32_t>(Verdict::on));
 }
 
@@ -152,6 +152,14 @@
     kept.matches("echo");
 }
 
+TEST_CASE("no on in the last stage before its pods are warm") {
+    Trial trial;
+    trial.balance->heard(1, counts(9, 1, {pair(60, 0, 300, 0)}));
+    trial.news(6, 1, Standing::trial, 1);
+    trial.go(8000 * ms);
+    trial.matches("last-stage");
+}
+
 TEST_CASE("a build that slows all pods in a later stage is waited for, then sent back") {
     Trial trial;
     trial.balance->heard(1, counts(9, 1, {Tallies{pair(30, 0, 100, 0)[0], pair(30, 0, 100, 0)[1], pair(200, 0, 0, 0)[0]}}));
