--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -37,7 +37,6 @@
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
 constexpr int paceTicks = 8;      // over which that pace is measured
-constexpr int youngSlots = 256;  // ticks ahead that open hits are told apart
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
 constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
@@ -179,8 +178,6 @@
     std::vector<Pod*> pods;                                  // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
-    std::array<int, youngSlots> young{};  // forwards out, by the tick in which they pass their target latency
-    Nanos agedTo = 0;                     // the first tick not yet forgotten
     int secondsSeen = 0, ticks = 0;
     std::array<double, paceTicks> paces{};  // by tick: deliveries in time, each as its part of the target latency
     Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
@@ -218,7 +215,6 @@
     void run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain);
     void giveUp(Hit& hit);
     bool overloaded() const;
-    static std::size_t youngSlot(Nanos due) { return static_cast<std::size_t>(due / tickEvery % youngSlots); }
 
     // pods
     bool wanted(const Hit& hit, const Pod& pod) const;
@@ -384,15 +380,14 @@
 }
 
 // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no more
-// hits are open than the pace of answers in time can clear within a part of the target latency. Those past their
-// target no longer count: a few heavy hits, or hits that hang at a lost pod, are no jam. Harm: a pace that falls for another cause
+// hits are open than the pace of answers in time can clear within a part of the target latency. Hits that hang
+// at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another cause
 // bounces hits for up to a second, down to one hit for every other pod.
 Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
     if (ticks < paceTicks) return Next::pass;
-    double usable = 0;
-    for (auto* pod : pods) usable += pod->availability == Availability::up && wanted(passage.hit, *pod);
-    int open = 0;
-    for (auto count : young) open += count;
+    double open = 0, usable = 0;
+    for (auto* pod : pods)
+        if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
     if (open < std::max(paceRoom(), 2 + usable / 2)) return Next::pass;
     limited = now;
     giveUp(passage.hit);
@@ -449,7 +444,6 @@
     if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
     if (probation(pod)) pod.sampled = true;
     if (pod.out++ == 0) pod.heard = now;
-    ++young[youngSlot(now + hit.group->target)];
     hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
     door.forward(hit.forwards.back(), hit.deadline - now);
     return Next::keep;
@@ -471,8 +465,6 @@
     forward.out = false;
     --forward.pod->out;
     forward.pod->heard = now;
-    if (const auto due = forward.sent + passage.hit.group->target; due / tickEvery >= agedTo)
-        --young[youngSlot(due)];
     forward.mayHaveRun = passage.outcome != Outcome::saturated && passage.outcome != Outcome::unreached &&
                          passage.outcome != Outcome::superseded;
     if (passage.closed) passage.hit.ended = true;
@@ -849,7 +841,6 @@
 void Balance::Parts::renewTick() {
     if (nextTick > now) return;
     nextTick = now + tickEvery;
-    for (; agedTo < now / tickEvery; ++agedTo) young[static_cast<std::size_t>(agedTo % youngSlots)] = 0;
     paces[++ticks % paceTicks] = 0;
     door.wake(tickEvery);
 }
