Errors of one or two pods among several do not count as their build's

Told apart by where the errors come from: a bad build errs on all its nodes. Harm: a fault that shows on two nodes only is found later.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -226,6 +226,7 @@
     // the trial
     void newest(int build);
     bool isVoter() const { return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end(); }
+    bool lonely(Pod& pod, Build& build);
     void count(const Forward& forward, Outcome outcome, Nanos took);
     void pool();
     void absorb(int peer, const Message& message);
@@ -554,6 +555,8 @@
         if (line.started != pod.started) {  // another process: nothing known of it, and cold
             pod.tries = {};
             pod.failsInARow = pod.benchings = 0;
+            if (pod.build) pod.build->erred -= pod.erred;
+            pod.erred = 0;
             pod.benchedUntil = 0;
             pod.coldSpent = 0;
             pod.coldMark = now;
@@ -604,12 +607,23 @@
     for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
 }
 
+// Exception: errors that come from one or two pods among several are those pods' trouble, not their build's, and
+// do not count. A build that errs does so on all its pods; with a single pod there is nothing to compare, and its
+// errors count. Guards against failing machines that by chance run the new build. Harm: a build whose fault shows
+// on two pods only is found later, when more have it.
+bool Balance::Parts::lonely(Pod& pod, Build& build) {
+    if (pod.build != &build) return true;  // another build runs there by now
+    ++pod.erred, ++build.erred;
+    const auto alike = std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
+    return alike > 1 && pod.erred > 1 + (build.erred - pod.erred) / std::min<std::ptrdiff_t>(2, alike - 1);
+}
+
 // Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
 void Balance::Parts::count(const Forward& forward, Outcome outcome, Nanos took) {
     if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
     if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
     const auto age = forward.sent - forward.pod->started;
-    if (age < skipFirst) return;
+    if (age < skipFirst || (outcome == Outcome::errored && lonely(*forward.pod, *forward.build))) return;
     const bool isNew = forward.build->number == trial.build;
     if (isNew && trial.counted < 0) trial.counted = now;
     if (age < countAfter) return;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,6 +54,7 @@
 
 struct Build {
     int number = 0;
+    int erred = 0;  // errors of its pods that run
     std::vector<double> allowance;  // forwards that the exposure rule allows now, by path group if counted so
 };
 
@@ -68,7 +69,7 @@
     double coldSpent = 0;                                   // the cold pod's allowance of own work
     Nanos coldMark = 0;                                     // and when it was last filled
     std::array<int, 2> tries{};                             // recent own forwards: well ended, failed
-    int failsInARow = 0, benchings = 0;
+    int failsInARow = 0, benchings = 0, erred = 0;
     Nanos benchedUntil = 0, fullUntil = 0;
     bool sampled = false;  // a forward is out that decides whether the pod comes back
 };
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -173,3 +173,21 @@
     }
     trial.matches("slower-than-before");
 }
+
+TEST_CASE("errors of one pod among several are not its build's") {
+    for (const int failing : {1, 3}) {
+        Trial trial;
+        trial.pod(3, 6), trial.pod(4, 6);
+        trial.news(6, 0, Standing::trial, 1);
+        for (int turn = 0; turn < 400; ++turn) {
+            trial.go(turn * 5 * ms);
+            auto& hit = trial.hit("h" + std::to_string(turn), 0);
+            if (hit.forwards.empty()) continue;
+            const auto on = static_cast<int>(hit.forwards[0].pod->id) - 2;  // the new build's pods are 0 to 2
+            trial.end(hit, on >= 0 && on < failing && turn % 5 == 0 ? Outcome::errored : Outcome::delivered);
+            if (!hit.ended) trial.end(hit, Outcome::delivered);
+        }
+        trial.go(2500 * ms);
+        CHECK((trial.verdict == static_cast<std::uint32_t>(Verdict::back)) == (failing == 3));
+    }
+}
