--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,6 +33,7 @@
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
+constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no pod cold: the build's doing
 constexpr double slowBar = 0.4, slowMargin = 0.05;  // of all pods, against the time before the build
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
@@ -167,7 +168,7 @@
     int me, balancers, forwardsAtMost, closedStages, lastStage;
     bool mayTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
-    Nanos coldTime, silentAfter, slowFor, countAfter, renewAfter, answerWait, rateGap, advice;
+    Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice;
     std::vector<Group> groups;
 
     // state
@@ -270,7 +271,7 @@
     advice = told.adviseRetry ? told.maxRetryAfter : 0;
     silentAfter = second;
     calm.resize(told.groups.size());
-    slowFor = coldTime + poolEvery;
+    settleFor = coldTime + poolEvery;
     for (const auto& group : told.groups) {
         silentAfter = std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
         Group made;
@@ -743,8 +744,8 @@
 
 // Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new against
 // earlier then show nothing. So the same test ranks all answers of late against those before the build came.
-// While these are slower, voters abstain and the timer waits; if that lasts longer than pods take to warm, it is
-// 'back', unless it already held in the first stage, whose traffic is too little to slow a fleet. Also guards
+// While these are slower, voters abstain and the timer waits; if that lasts for two poolings with no pod cold,
+// it is 'back', unless it already held in the first stage, whose traffic is too little to slow a fleet. Also guards
 // against going on in a jam. Harm: a burst or slow spell of that length in a later stage takes a good build off.
 bool Balance::Parts::slowerThanBefore(const Side& lately, const Side& before) {
     const double n = lately.all(), m = before.all();
@@ -777,8 +778,10 @@
         return Verdict::back;
     const auto [these, those] = mixed(past);
     if (slowerThanBefore(these, those)) {
-        if (trial.slowSince < 0) trial.slowSince = now;
-        if (now - trial.slowSince < slowFor) return Verdict::none;
+        // Cold pods are slow for a known cause.
+        const bool warming = std::any_of(pods.begin(), pods.end(), [&](auto* pod) { return cold(*pod); });
+        if (trial.slowSince < 0 || warming) trial.slowSince = now;
+        if (now - trial.slowSince < slowSpell) return Verdict::none;
         if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
         trial.slowAnyway = true;
     } else {
@@ -786,7 +789,7 @@
     }
     // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what shows
     // only with all traffic (a build slow under load, or slowing all) would be released unseen.
-    if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < slowFor)
+    if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < settleFor)
         return Verdict::none;
     if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
     if (clocked) {
