Latency is ranked only while both builds' outcomes still flow

Meant for the last stage of a rolling replacement, where drained nodes' old ranks stand against a full load.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -30,6 +30,7 @@
 constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
 constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
+constexpr double besidePart = 0.5;  // of the new build's recent outcomes, that the earlier ones still have
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
@@ -115,13 +116,13 @@
     struct Side {
         Bins bins = Bins(latencyBins, 0);
         double errored = 0, flagged = 0;
-        Nanos fresh = std::numeric_limits<Nanos>::min() / 4;  // when counts last came in
+        double recent = 0;  // outcomes of late, halved at each pooling
 
         double all() const { return total(bins); }
         void add(const Side& other, double part) {
             for (int bin = 0; bin < latencyBins; ++bin) bins[bin] += other.bins[bin] * part;
             errored += other.errored * part, flagged += other.flagged * part;
-            fresh = std::max(fresh, other.fresh);
+            recent += other.recent;
         }
     };
 
@@ -662,8 +663,10 @@
     if (isVoter()) {
         judge();
         tellVerdict();
-        for (auto& side : trial.lately)
-            for (auto& bin : side.bins) bin /= 2;
+        for (std::size_t group = 0; group < groups.size(); ++group) {
+            for (auto& bin : trial.lately[group].bins) bin /= 2;
+            for (auto& side : trial.sums[group]) side.recent /= 2;
+        }
     }
 }
 
@@ -693,7 +696,7 @@
             }
             side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
             side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
-            if (grew > 0) side.fresh = now;
+            side.recent += grew;
             if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
             if (side.all() > halveAt) {
                 for (auto& bin : side.bins) bin /= 2;
@@ -758,6 +761,10 @@
 
 Verdict Balance::Parts::verdictNow() {
     const bool released = told.build == trial.build && told.standing == Standing::released;
+    // Latency is compared only while both sides flow: ranks of one minute against another's show the load.
+    const auto beside = [&](const Side& newer, const Side& earlier) {
+        return !released && earlier.recent >= newer.recent * besidePart;
+    };
     bool back = false;
     Sides present, past;
     for (std::size_t group = 0; group < groups.size(); ++group) {
@@ -767,14 +774,13 @@
         // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few for
         // any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in time
         // against not), votes back if hardly a draw passes the bar.
-        back = back || worse(newer, earlier, now - earlier.fresh <= 2 * poolEvery && !released);
+        back = back || worse(newer, earlier, beside(newer, earlier));
     }
     const auto [x, y] = mixed(present);
-    const bool beside = now - y.fresh <= 2 * poolEvery && !released;
-    if (back || worse(x, y, beside)) return Verdict::back;
+    if (back || worse(x, y, beside(x, y))) return Verdict::back;
     if (released) return Verdict::none;
     const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes;
-    if (enough && beside && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
+    if (enough && beside(x, y) && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
         return Verdict::back;
     const auto [these, those] = mixed(past);
     if (slowerThanBefore(these, those)) {
