A limit from the first moment; hits kept out count as late against the time before a build

Now hits kept out rank as late when now is held against the time before the build. Harm: a burst of some length in a later stage.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -35,7 +35,7 @@
 // Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
 constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no pod cold: the build's doing
-constexpr double slowBar = 0.4, slowMargin = 0.05;  // of all pods, against the time before the build
+constexpr double slowBar = 0.4, slowMargin = 0.05, calmShare = 0.2;  // of all pods, against the time before the build
 
 constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
 constexpr int paceTicks = 8;      // over which that pace is measured
@@ -387,12 +387,17 @@
 // at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another cause
 // bounces hits for up to a second, down to one hit for every other pod.
 Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
-    if (ticks < paceTicks) return Next::pass;
     double open = 0, usable = 0;
     for (auto* pod : pods)
         if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
-    if (open < std::max(paceRoom(), 2 + usable / 2)) return Next::pass;
+    const double floor = ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
+    if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
     limited = now;
+    // To rank now against the time before a build, a hit kept out is as good as late: else the limit would hide
+    // that a build slows all pods.
+    const auto group = static_cast<std::size_t>(passage.hit.group->index);
+    if (trial.build >= 0) ++trial.own[group][1].keptOut;
+    ++calm[group].back().bins[lastBin];
     giveUp(passage.hit);
     return Next::end;
 }
@@ -697,6 +702,7 @@
             side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
             side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
             side.recent += grew;
+            trial.lately[group].bins[lastBin] += came.keptOut > had.keptOut ? came.keptOut - had.keptOut : 0;
             if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
             if (side.all() > halveAt) {
                 for (auto& bin : side.bins) bin /= 2;
@@ -753,7 +759,9 @@
 bool Balance::Parts::slowerThanBefore(const Side& lately, const Side& before) {
     const double n = lately.all(), m = before.all();
     if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
-    if (rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain) return true;
+    const bool calmBefore = before.bins[lastBin] < m * calmShare;
+    if (calmBefore && rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
+        return true;
     const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]}, y{m - before.bins[lastBin], before.bins[lastBin]};
     const double margin = std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
     return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -3,7 +3,7 @@
 namespace lichenlanding {
 namespace {
 
-constexpr unsigned char version = 2;
+constexpr unsigned char version = 3;
 
 void put(std::string& to, std::uint32_t value) {
     while (value >= 0x80) {
@@ -17,6 +17,7 @@
     for (auto count : tally.bins) put(to, count);
     put(to, tally.errored);
     put(to, tally.flagged);
+    put(to, tally.keptOut);
 }
 
 struct Reader {
@@ -44,6 +45,7 @@
         for (auto& count : read.bins) count = number();
         read.errored = number();
         read.flagged = number();
+        read.keptOut = number();
         return read;
     }
 };
