Slowness is not the build's while pods are lost or failing, as while they are cold

Told apart by the nodes themselves: fewer up than when the build came, or some benched. Harm: a build that slows all is found later while some node fails.

--- a/src/adapter/instance.cpp
+++ b/src/adapter/instance.cpp
@@ -4,7 +4,8 @@
 
 namespace lichenlanding::wire {
 
-Instance::Instance(std::int64_t number, const Settings& settings, std::uint64_t seed, Nanos now, std::string& out)
+Instance::Instance(std::int64_t number, const Settings& settings, std::uint64_t seed, Nanos now,
+                   std::string& out)
     : number_(std::to_string(number)), out_(out), settings_(settings), balance_(settings_, seed, *this) {
     balance_.at(now);
     balance_.woke();
@@ -56,10 +57,8 @@
     const auto scope = line.word("scope");
     if (scope == "error") return balance_.listFailed();
     if (scope != "diff" && scope != "snapshot" && scope != "disk") line.fail("scope");
-    if (line.absent())
-        line.word("seqNo");
-    else
-        line.integer("seqNo", 0, 1LL << 62);
+    if (line.absent()) line.word("seqNo");
+    else line.integer("seqNo", 0, 1LL << 62);
     std::vector<Listing> listings;
     for (const auto& row : ledgers[line.integer("slot", 0, 15)]) {
         Listing listing{&pod(row.pod), row.build, -1, row.cell, row.availability, row.started};
@@ -81,10 +80,8 @@
     hit->group = &group(line, "profile");
     hit->deadline = line.time("clientDeadlineMs");
     line.word("realm");
-    if (line.absent())
-        line.word("workMs");
-    else
-        hit->work = (marks & 1) ? line.time("workMs") : (line.time("workMs"), 0);
+    if (line.absent()) line.word("workMs");
+    else hit->work = (marks & 1) ? line.time("workMs") : (line.time("workMs"), 0);
     auto& held = hits_[hit->id];
     held = std::move(hit);
     auto* taken = held.get();
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -63,7 +63,8 @@
     if (!std::cin) return false;
     if (text.back() == '\r') text.pop_back();
     Line round(text);
-    if (round.name() != "ROUND") throw Unreadable("cannot read " + std::string(round.name()) + ": field ROUND");
+    if (round.name() != "ROUND")
+        throw Unreadable("cannot read " + std::string(round.name()) + ": field ROUND");
     const auto now = round.time("clockMs");
     for (;;) {
         const auto event = nextLine();
--- a/src/adapter/wire.hpp
+++ b/src/adapter/wire.hpp
@@ -30,7 +30,7 @@
     bool absent() const { return parts_.size() > next_ && parts_[next_] == "-"; }
     std::int64_t integer(const char* field, std::int64_t least, std::int64_t most);
     double number(const char* field);
-    Nanos time(const char* field);       // milliseconds on the wire
+    Nanos time(const char* field);  // milliseconds on the wire
     std::uint64_t seed(const char* field);
     bool truth(const char* field);
     std::string bytes(const char* field);  // hex digits
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,10 +1,11 @@
 // The decisions of one sidecar: where each hit goes, and how it votes on the build on trial.
 //
-// How it is called: the host makes a Balance (interface: balance.hpp), sets the clock with at(), then tells of
-// each thing that happens by one call; the answers go out through the Door, in the same call. Types that both
-// share are in state.hpp, the bytes of peer messages in gossip.hpp. The order here: figures, the five rules,
-// the chain a hit passes, the chain back, pods, and last the trial: counting, pooling, the test, the votes.
-// The mechanism is that of docs/design.md; "exception" marks where the code departs from its ordinary path.
+// How it is called: the host makes a Balance (interface: balance.hpp), sets the clock with at(), then tells
+// of each thing that happens by one call; the answers go out through the Door, in the same call. Types that
+// both share are in state.hpp, the bytes of peer messages in gossip.hpp. The order here: figures, the five
+// rules, the chain a hit passes, the chain back, pods, and last the trial: counting, pooling, the test, the
+// votes. The mechanism is that of docs/design.md; "exception" marks where the code departs from its ordinary
+// path.
 #include "balance.hpp"
 
 #include <algorithm>
@@ -19,10 +20,10 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr Nanos tickEvery = 250 * ms;     // how often votes and timers are looked at
-constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
-constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
-constexpr Nanos skipFirst = 2 * second;   // after a pod's start nothing counts
+constexpr Nanos tickEvery = 250 * ms;    // how often votes and timers are looked at
+constexpr Nanos poolEvery = 2 * second;  // new counts go to the voters
+constexpr Nanos judgeAtMost = 500 * ms;  // voters draw no more often than this
+constexpr Nanos skipFirst = 2 * second;  // after a pod's start nothing counts
 constexpr Nanos undecidedFor = 1500 * ms;
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
@@ -32,16 +33,21 @@
 constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
 constexpr double besidePart = 0.5;  // of the new build's recent outcomes, that the earlier ones still have
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
-// Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier one.
+// Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier
+// one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
-constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no pod cold: the build's doing
-constexpr double slowBar = 0.4, slowMargin = 0.05, calmShare = 0.2;  // of all pods, against the time before the build
-
-constexpr double openPart = 0.4;  // of the target latency: what open hits may come to at the pace of deliveries
-constexpr int paceTicks = 8;      // over which that pace is measured
+constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
+constexpr double podsKept = 0.9;            // of those up before: with fewer, the fleet has lost pods
+constexpr double slowBar = 0.4, slowMargin = 0.05,
+                 calmShare = 0.2;  // of all pods, against the time before the build
+
+constexpr double openPart =
+    0.4;                      // of the target latency: what open hits may come to at the pace of deliveries
+constexpr int paceTicks = 8;  // over which that pace is measured
 constexpr int furtherForwards = 2;
-constexpr double quietPart = 0.5;  // of the shortest target latency: a pod that owes answers this long is silent
-constexpr double coldPart = 0.7;   // of the multiple at which a cold pod falls over
+constexpr double quietPart =
+    0.5;  // of the shortest target latency: a pod that owes answers this long is silent
+constexpr double coldPart = 0.7;  // of the multiple at which a cold pod falls over
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
 constexpr int lastBin = latencyBins - 1;
@@ -135,8 +141,8 @@
     // The newest build and what is known of it.
     struct Trial {
         int build = -1;
-        std::vector<Tallies> own;                  // counted here, since the build was first seen
-        Nanos counted = -1;                     // when its first outcome was counted here or came from a sender
+        std::vector<Tallies> own;  // counted here, since the build was first seen
+        Nanos counted = -1;        // when its first outcome was counted here or came from a sender
         std::vector<int> voters;
         std::vector<Sender> senders;            // by peer; used by voters
         std::vector<std::array<Side, 3>> sums;  // by path group: new, earlier, before
@@ -144,6 +150,7 @@
         std::vector<Heard> verdicts;            // by peer
         Verdict verdict = Verdict::none;        // as voter
         Nanos slowSince = -1;                   // all pods slower than before the build came
+        std::ptrdiff_t podsBefore = 0;          // up when the build was first seen
         bool slowAnyway = false;                // and that is not the build's doing
         Nanos judged = std::numeric_limits<Nanos>::min() / 4;
     };
@@ -181,7 +188,8 @@
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
     int secondsSeen = 0, ticks = 0;
-    std::array<double, paceTicks> paces{};  // by tick: deliveries in time, each as its part of the target latency
+    std::array<double, paceTicks>
+        paces{};  // by tick: deliveries in time, each as its part of the target latency
     Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
     Nanos nextSecond = 0;
     std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
@@ -196,7 +204,7 @@
     double& allowance(Build& build, const PathGroup& group) const;
     bool effectOnce(const Hit& hit, const Pod& pod) const;
     bool mayBounce(const Hit& hit) const;
-    bool drainKept(const Pod& pod) const { return pod.availability == Availability::up; }
+    static bool drainKept(const Pod& pod) { return pod.availability == Availability::up; }
     bool cold(const Pod& pod) const { return now - pod.started < coldTime; }
     double warmth(const Pod& pod) const;
     double coldRoom(Pod& pod);
@@ -227,7 +235,9 @@
 
     // the trial
     void newest(int build);
-    bool isVoter() const { return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end(); }
+    bool isVoter() const {
+        return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
+    }
     bool lonely(Pod& pod, Build& build);
     void count(const Forward& forward, Outcome outcome, Nanos took);
     void pool();
@@ -235,6 +245,7 @@
     void judge();
     using Sides = std::vector<std::pair<const Side*, const Side*>>;
     static std::pair<Side, Side> mixed(const Sides& sides);
+    bool knownCause() const;
     bool slowerThanBefore(const Side& lately, const Side& before);
     bool worse(const Side& newer, const Side& earlier, bool beside);
     Verdict verdictNow();
@@ -245,7 +256,6 @@
     void renewTick();
 };
 
-
 Balance::Parts::Parts(const Settings& told, std::uint64_t seed, Door& door_) : door(door_) {
     std::seed_seq mix{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
     chance.seed(mix);
@@ -268,13 +278,15 @@
     countAfter = std::max(skipFirst, coldTime * 3 / 4);
     renewAfter = told.voteLife / 2;
     answerWait = told.answerWait;
-    rateGap = static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
+    rateGap =
+        static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
     advice = told.adviseRetry ? told.maxRetryAfter : 0;
     silentAfter = second;
     calm.resize(told.groups.size());
     settleFor = coldTime + poolEvery;
     for (const auto& group : told.groups) {
-        silentAfter = std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
+        silentAfter =
+            std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
         Group made;
         double edge = static_cast<double>(group.target);
         for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made.edges[bin] = static_cast<Nanos>(edge);
@@ -289,7 +301,9 @@
 }
 
 // A build that the news does not name yet counts as in the first stage.
-double Balance::Parts::cap(const Build& build) const { return build.number == told.build ? told.cap : firstCap; }
+double Balance::Parts::cap(const Build& build) const {
+    return build.number == told.build ? told.cap : firstCap;
+}
 
 double& Balance::Parts::allowance(Build& build, const PathGroup& group) const {
     return build.allowance[perGroup ? static_cast<std::size_t>(group.index) : 0];
@@ -325,12 +339,14 @@
     return hit.work > 0 ? static_cast<double>(hit.work) : typicalWork > 0 ? typicalWork : 1.0;
 }
 
-// A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less than the
-// multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep to of the whole.
-// Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar saves up one hit.
+// A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less than
+// the multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep to of the
+// whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar saves up one
+// hit.
 double Balance::Parts::coldRoom(Pod& pod) {
     const auto since = std::max(pod.coldMark, pod.started);
-    pod.coldSpent += doneRate * warmth(pod) * coldExcess * static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
+    pod.coldSpent +=
+        doneRate * warmth(pod) * coldExcess * static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
     pod.coldMark = now;
     return pod.coldSpent = std::min(pod.coldSpent, std::max(typicalWork, 1.0));
 }
@@ -339,8 +355,8 @@
     return !cold(pod) || coldRoom(pod) >= weight(hit);
 }
 
-// Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes one,
-// so that over any span forwards stay under the free number plus the cap's share of the hits taken.
+// Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes
+// one, so that over any span forwards stay under the free number plus the cap's share of the hits taken.
 bool Balance::Parts::exposureKept(const Hit& hit, const Pod& pod) const {
     if (!onTrial(*pod.build)) return true;
     const auto share = cap(*pod.build);
@@ -352,7 +368,8 @@
 bool Balance::Parts::lawful(const Hit& hit, Pod& pod) {
     if (hit.ended || now >= hit.deadline) return false;  // every hit one answer, and nothing after it
     if (!drainKept(pod) || !effectOnce(hit, pod) || !exposureKept(hit, pod)) return false;
-    if (oneWay && !hit.key.empty() && told.standing != Standing::goingBack && told.standing != Standing::withdrawn)
+    if (oneWay && !hit.key.empty() && told.standing != Standing::goingBack &&
+        told.standing != Standing::withdrawn)
         if (const auto found = answeredBy.find(hit.key); found != answeredBy.end())
             if (pod.build->number < found->second) return false;
     return coldSpared(hit, pod);
@@ -383,18 +400,19 @@
 }
 
 // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no more
-// hits are open than the pace of answers in time can clear within a part of the target latency. Hits that hang
-// at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another cause
-// bounces hits for up to a second, down to one hit for every other pod.
+// hits are open than the pace of answers in time can clear within a part of the target latency. Hits that
+// hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another
+// cause bounces hits for up to a second, down to one hit for every other pod.
 Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
     double open = 0, usable = 0;
     for (auto* pod : pods)
         if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
-    const double floor = ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
+    const double floor =
+        ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
     if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
     limited = now;
-    // To rank now against the time before a build, a hit kept out is as good as late: else the limit would hide
-    // that a build slows all pods.
+    // To rank now against the time before a build, a hit kept out is as good as late: else the limit would
+    // hide that a build slows all pods.
     const auto group = static_cast<std::size_t>(passage.hit.group->index);
     if (trial.build >= 0) ++trial.own[group][1].keptOut;
     ++calm[group].back().bins[lastBin];
@@ -403,7 +421,8 @@
 }
 
 // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until it
-// speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show itself.
+// speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show
+// itself.
 bool Balance::Parts::wanted(const Hit& hit, const Pod& pod) const {
     if (now < pod.benchedUntil || (pod.out > 0 && now - pod.heard > silentAfter)) return false;
     return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
@@ -436,7 +455,8 @@
     passage.pod = best[first];
     if (best.size() > 1) {
         auto* other = best[(first + 1 + chance() % (best.size() - 1)) % best.size()];
-        if ((other->out + 1) / warmth(*other) < (passage.pod->out + 1) / warmth(*passage.pod)) passage.pod = other;
+        if ((other->out + 1) / warmth(*other) < (passage.pod->out + 1) / warmth(*passage.pod))
+            passage.pod = other;
     }
     return Next::pass;
 }
@@ -460,10 +480,8 @@
 // One final answer, at once: a bounce where it may be promised, else an error.
 void Balance::Parts::giveUp(Hit& hit) {
     hit.ended = true;
-    if (now < hit.deadline && mayBounce(hit))
-        door.bounce(hit, overloaded() || limited == now ? advice : 0);
-    else
-        door.error(hit);
+    if (now < hit.deadline && mayBounce(hit)) door.bounce(hit, overloaded() || limited == now ? advice : 0);
+    else door.error(hit);
 }
 
 // ---- The chain back: settle, learn, answer. ----
@@ -484,12 +502,14 @@
     auto& pod = *forward.pod;
     const auto outcome = passage.outcome;
     if (outcome == Outcome::superseded || outcome == Outcome::recalled) return Next::pass;
-    // A full pod answers at once and so looks idle by own load: it would draw all hits. It rests for a moment.
+    // A full pod answers at once and so looks idle by own load: it would draw all hits. It rests for a
+    // moment.
     if (outcome == Outcome::saturated) pod.fullUntil = now + silentAfter;
     count(forward, outcome, passage.took);
     pod.sampled = false;
     const bool well = outcome == Outcome::delivered;
-    // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look like its own.
+    // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look like
+    // its own.
     const bool blame = !well && outcome != Outcome::saturated;
     if (well) {
         done += weight(passage.hit);
@@ -517,7 +537,8 @@
 Balance::Parts::Next Balance::Parts::answer(Passage& passage) {
     auto& hit = passage.hit;
     if (hit.ended) return Next::end;
-    const bool more = static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
+    const bool more =
+        static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
     if (!more) {
         giveUp(hit);
         return Next::end;
@@ -533,7 +554,8 @@
 
 // Never more than half of the pods: if most fail, the cause lies elsewhere and sending on is better.
 void Balance::Parts::bench(Pod& pod) {
-    const auto benched = std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
+    const auto benched =
+        std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
     if (benched * 2 >= static_cast<std::ptrdiff_t>(pods.size())) return;
     pod.benchedUntil = now + (benchFor << std::min(pod.benchings, benchDoublings));
     ++pod.benchings;
@@ -595,6 +617,7 @@
     if (build <= trial.build) return;
     trial = Trial{};
     trial.build = build;
+    trial.podsBefore = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
     const auto n = static_cast<std::size_t>(balancers);
     trial.own = calm;
     calm.assign(groups.size(), {});
@@ -614,14 +637,15 @@
     for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
 }
 
-// Exception: errors that come from one or two pods among several are those pods' trouble, not their build's, and
-// do not count. A build that errs does so on all its pods; with a single pod there is nothing to compare, and its
-// errors count. Guards against failing machines that by chance run the new build. Harm: a build whose fault shows
-// on two pods only is found later, when more have it.
+// Exception: errors that come from one or two pods among several are those pods' trouble, not their build's,
+// and do not count. A build that errs does so on all its pods; with a single pod there is nothing to compare,
+// and its errors count. Guards against failing machines that by chance run the new build. Harm: a build whose
+// fault shows on two pods only is found later, when more have it.
 bool Balance::Parts::lonely(Pod& pod, Build& build) {
     if (pod.build != &build) return true;  // another build runs there by now
     ++pod.erred, ++build.erred;
-    const auto alike = std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
+    const auto alike =
+        std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
     return alike > 1 && pod.erred > 1 + (build.erred - pod.erred) / std::min<std::ptrdiff_t>(2, alike - 1);
 }
 
@@ -732,12 +756,13 @@
     const auto two = [](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
     if (fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2)) return true;
     if (fails(two(newer.flagged, n), two(earlier.flagged, m), 0.5 - flagMargin / 2)) return true;
-    return beside && (fails(newer.bins, earlier.bins, backBar) ||
-                      fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
+    return beside &&
+           (fails(newer.bins, earlier.bins, backBar) ||
+            fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
 }
 
-// Sums over all path groups; the second side is mixed as the first one's hits are, since some stages are closed
-// to some path groups, and the mix of hits changes.
+// Sums over all path groups; the second side is mixed as the first one's hits are, since some stages are
+// closed to some path groups, and the mix of hits changes.
 std::pair<Balance::Parts::Side, Balance::Parts::Side> Balance::Parts::mixed(const Sides& sides) {
     double most = 0;
     for (const auto& [one, other] : sides)
@@ -751,19 +776,30 @@
     return {x, y};
 }
 
-// Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new against
-// earlier then show nothing. So the same test ranks all answers of late against those before the build came.
-// While these are slower, voters abstain and the timer waits; if that lasts for two poolings with no pod cold,
-// it is 'back', unless it already held in the first stage, whose traffic is too little to slow a fleet. Also guards
-// against going on in a jam. Harm: a burst or slow spell of that length in a later stage takes a good build off.
+// Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build does.
+bool Balance::Parts::knownCause() const {
+    const auto up = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
+    return static_cast<double>(up) < static_cast<double>(trial.podsBefore) * podsKept ||
+           std::any_of(pods.begin(), pods.end(),
+                       [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
+}
+
+// Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new
+// against earlier then show nothing. So the same test ranks all answers of late against those before the
+// build came. While these are slower, voters abstain and the timer waits; if that lasts for two poolings with
+// no other cause known, it is 'back', unless it already held in the first stage, whose traffic is too little
+// to slow a fleet. Also guards against going on in a jam. Harm: a burst or slow spell of that length in a
+// later stage takes a good build off.
 bool Balance::Parts::slowerThanBefore(const Side& lately, const Side& before) {
     const double n = lately.all(), m = before.all();
     if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
     const bool calmBefore = before.bins[lastBin] < m * calmShare;
     if (calmBefore && rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
         return true;
-    const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]}, y{m - before.bins[lastBin], before.bins[lastBin]};
-    const double margin = std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
+    const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]},
+        y{m - before.bins[lastBin], before.bins[lastBin]};
+    const double margin =
+        std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
     return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
 }
 
@@ -779,9 +815,9 @@
         const auto& [newer, earlier, before] = trial.sums[group];
         present.emplace_back(&newer, &earlier);
         past.emplace_back(&trial.lately[group], &before);
-        // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few for
-        // any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in time
-        // against not), votes back if hardly a draw passes the bar.
+        // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few
+        // for any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in
+        // time against not), votes back if hardly a draw passes the bar.
         back = back || worse(newer, earlier, beside(newer, earlier));
     }
     const auto [x, y] = mixed(present);
@@ -792,20 +828,19 @@
         return Verdict::back;
     const auto [these, those] = mixed(past);
     if (slowerThanBefore(these, those)) {
-        // Cold pods are slow for a known cause.
-        const bool warming = std::any_of(pods.begin(), pods.end(), [&](auto* pod) { return cold(*pod); });
-        if (trial.slowSince < 0 || warming) trial.slowSince = now;
+        if (trial.slowSince < 0 || knownCause()) trial.slowSince = now;
         if (now - trial.slowSince < slowSpell) return Verdict::none;
         if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
         trial.slowAnyway = true;
     } else {
         trial.slowSince = -1;
     }
-    // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what shows
-    // only with all traffic (a build slow under load, or slowing all) would be released unseen.
+    // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
+    // shows only with all traffic (a build slow under load, or slowing all) would be released unseen.
     if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < settleFor)
         return Verdict::none;
-    if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure) return Verdict::on;
+    if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure)
+        return Verdict::on;
     if (clocked) {
         const bool young = told.build == trial.build && now - told.since < undecidedFor;
         return young ? Verdict::hold : Verdict::none;
@@ -847,8 +882,8 @@
                       (anyStage || cast.stage == told.stage);
     if (same && (verdict == Verdict::none || now < cast.when + renewAfter)) return;
     // A vote for what is over needs no taking back.
-    if (verdict == Verdict::none && (told.standing != Standing::trial || cast.build != told.build ||
-                                     cast.stage != told.stage)) {
+    if (verdict == Verdict::none &&
+        (told.standing != Standing::trial || cast.build != told.build || cast.stage != told.stage)) {
         cast.verdict = verdict;
         return;
     }
@@ -890,7 +925,9 @@
     if (parts_->askForList) parts_->door.listen();
 }
 
-void Balance::hit(Hit& hit) { parts_->run({hit}, {&Parts::take, &Parts::admit, &Parts::choose, &Parts::send}); }
+void Balance::hit(Hit& hit) {
+    parts_->run({hit}, {&Parts::take, &Parts::admit, &Parts::choose, &Parts::send});
+}
 
 void Balance::head(Forward& forward) { forward.hit->deadline = std::numeric_limits<Nanos>::max(); }
 
@@ -926,7 +963,8 @@
     parts.castVote();
 }
 
-void Balance::news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap, Nanos age) {
+void Balance::news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap,
+                   Nanos age) {
     auto& parts = *parts_;
     if (answer) {
         parts.cast.next = parts.now;
--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -27,8 +27,8 @@
     virtual void listen() = 0;  // ask for the list and its changes, where it does not come by itself
 };
 
-// The imprecise Dirichlet rank-sum test on binned samples: the chances that P(X <= Y) passes the bar under the
-// lower and the upper bound, and both bounds' means.
+// The imprecise Dirichlet rank-sum test on binned samples: the chances that P(X <= Y) passes the bar under
+// the lower and the upper bound, and both bounds' means.
 struct RankBounds {
     double lowerChance = 0, upperChance = 0, lowerMean = 0, upperMean = 0;
 };
--- a/src/gossip.hpp
+++ b/src/gossip.hpp
@@ -14,9 +14,10 @@
 
 // Outcomes of one path group at one build, counted since the build on trial was first seen.
 struct Tally {
-    std::array<std::uint32_t, latencyBins> bins{};  // the last one holds errors, time-outs and flagged answers
-    std::uint32_t errored = 0, flagged = 0;         // of those in the last bin, outright errors and flagged ones
-    std::uint32_t keptOut = 0;                      // hits bounced for want of room, in no bin
+    std::array<std::uint32_t, latencyBins>
+        bins{};                              // the last one holds errors, time-outs and flagged answers
+    std::uint32_t errored = 0, flagged = 0;  // of those in the last bin, outright errors and flagged ones
+    std::uint32_t keptOut = 0;               // hits bounced for want of room, in no bin
 };
 
 // Of the build on trial, of the earlier builds meanwhile, and of all builds before it was first seen.
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,7 +54,7 @@
 
 struct Build {
     int number = 0;
-    int erred = 0;  // errors of its pods that run
+    int erred = 0;                  // errors of its pods that run
     std::vector<double> allowance;  // forwards that the exposure rule allows now, by path group if counted so
 };
 
