Slowness is not the build's while first tries are 1.4 times those before it

Told apart by first tries: a burst brings more of them, a slow build only retries. Should also guard against a caller that moves to this sidecar. Harm: a sidecar that saw no hit before the build never counts the slowness.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -37,6 +37,8 @@
 // one.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
 constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
+constexpr double demandRise = 1.4;          // first tries against the time before: a burst
+constexpr int demandSeconds = 3;            // over which they are counted
 constexpr double podsKept = 0.9;            // of those up before: with fewer, the fleet has lost pods
 constexpr double slowBar = 0.4, slowMargin = 0.05,
                  calmShare = 0.2;  // of all pods, against the time before the build
@@ -151,7 +153,8 @@
         Verdict verdict = Verdict::none;        // as voter
         Nanos slowSince = -1;                   // all pods slower than before the build came
         std::ptrdiff_t podsBefore = 0;          // up when the build was first seen
-        bool slowAnyway = false;                // and that is not the build's doing
+        double demandBefore = 0;
+        bool slowAnyway = false;  // and that is not the build's doing
         Nanos judged = std::numeric_limits<Nanos>::min() / 4;
     };
 
@@ -192,7 +195,8 @@
         paces{};  // by tick: deliveries in time, each as its part of the target latency
     Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
     Nanos nextSecond = 0;
-    std::array<int, 2> recent{};  // own outcomes lately: in time, late or turned away
+    std::array<int, 2> recent{};     // own outcomes lately: in time, late or turned away
+    double arrived = 0, demand = 0;  // first tries: this second, and a second of late
     News told;
     Trial trial;
     std::vector<Tallies> calm;  // the last place: outcomes since start, halved from time to time
@@ -383,6 +387,7 @@
 }
 
 Balance::Parts::Next Balance::Parts::take(Passage& passage) {
+    if (!passage.hit.repeated) ++arrived;
     for (auto* build : present) {
         auto& allowed = allowance(*build, *passage.hit.group);
         allowed = std::min(free, allowed + cap(*build));
@@ -617,6 +622,7 @@
     if (build <= trial.build) return;
     trial = Trial{};
     trial.build = build;
+    trial.demandBefore = demand;
     trial.podsBefore = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
     const auto n = static_cast<std::size_t>(balancers);
     trial.own = calm;
@@ -776,9 +782,11 @@
     return {x, y};
 }
 
-// Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build does.
+// Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build does,
+// and so does a burst. Clients' retries do not count for one: a slow build draws them.
 bool Balance::Parts::knownCause() const {
     const auto up = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
+    if (demand > trial.demandBefore * demandRise) return true;
     return static_cast<double>(up) < static_cast<double>(trial.podsBefore) * podsKept ||
            std::any_of(pods.begin(), pods.end(),
                        [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
@@ -896,6 +904,8 @@
 void Balance::Parts::measure() {
     if (now < nextSecond) return;
     nextSecond = now + second;
+    demand += (arrived - demand) / std::min(secondsSeen + 1, demandSeconds);
+    arrived = 0;
     double capacity = 0;
     for (auto* pod : pods)
         if (pod->availability == Availability::up) capacity += warmth(*pod);
