The exposure allowance starts at its free number

At full size a sidecar takes a few hits a second; at a cap of 0.06 the first forward to a new build waited for some 17 hits. Starting full keeps the rule over every window (a bucket no deeper than the free number); only a sidecar just started begins empty, since it may have used the allowance before it stopped.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -179,7 +179,8 @@
     int me, balancers, forwardsAtMost, closedStages, lastStage;
     bool mayTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
-    Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice;
+    Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice, window;
+    Nanos born = -1;
     std::vector<Group> groups;
 
     // state
@@ -275,6 +276,7 @@
     oneWay = told.oneWay;
     clocked = told.control == Control::clocked;
     free = told.freeForwards;
+    window = told.exposureWindow;
     firstCap = told.caps.empty() ? 0 : told.caps.front();
     coldFrom = told.coldFrom;
     coldExcess = std::max(1.0, told.fallMultiple * coldPart);
@@ -572,7 +574,9 @@
     if (!build) {
         build = std::make_unique<Build>();
         build->number = number;
-        build->allowance.assign(perGroup ? groups.size() : 1, 0.0);
+        // A quiet sidecar may use the free number at once; one that starts may have used it before it stopped.
+        const bool fresh = born >= 0 && now - born >= window;
+        build->allowance.assign(perGroup ? groups.size() : 1, fresh ? free : 0.0);
     }
     return build.get();
 }
@@ -987,7 +991,7 @@
         if (answered != Outcome::delivered) return;
     }
     if (build < parts.told.build) return;
-    if (build != parts.told.build || cap < parts.told.cap) {  // counting restarts under a lower cap
+    if (build == parts.told.build && cap < parts.told.cap) {  // counting restarts under a lower cap
         auto& allowed = parts.buildOf(build)->allowance;
         std::fill(allowed.begin(), allowed.end(), 0.0);
     }
@@ -1004,6 +1008,7 @@
 void Balance::woke() {
     auto& parts = *parts_;
     if (parts.nextTick < 0) {  // the first call
+        parts.born = parts.now;
         if (parts.askForList) parts.door.listen();
         parts.nextPool = parts.now + static_cast<Nanos>(parts.chance() % 1000) * (poolEvery / 1000);
     }
