Cold pods: each sidecar starts up to a hit in debt, by chance; choices are drawn by warmth

A quiet sidecar's part of a cold pod is less than a hit for its whole warming time, so hundreds of them sent nothing and a stage's pods stood idle. With a debt drawn at the pod's start their sends add up to the parts' sum; nothing is saved up.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -213,7 +213,6 @@
     bool cold(const Pod& pod) const { return now - pod.started < coldTime; }
     double warmth(const Pod& pod) const;
     double coldRoom(Pod& pod);
-    bool coldSpared(const Hit& hit, Pod& pod);
     bool exposureKept(const Hit& hit, const Pod& pod) const;
     bool lawful(const Hit& hit, Pod& pod);
     double weight(const Hit& hit) const;
@@ -347,19 +346,16 @@
 
 // A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less than
 // the multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep to of the
-// whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar saves up one
-// hit.
+// whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar's part is less
+// than a hit; so each starts up to one hit in debt, by chance, and hundreds of them still add up to their part.
 double Balance::Parts::coldRoom(Pod& pod) {
     const auto since = std::max(pod.coldMark, pod.started);
     pod.coldSpent +=
         doneRate * warmth(pod) * coldExcess * static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
     pod.coldMark = now;
-    return pod.coldSpent = std::min(pod.coldSpent, std::max(typicalWork, 1.0));
+    return pod.coldSpent = std::min(pod.coldSpent, 0.0);
 }
 
-bool Balance::Parts::coldSpared(const Hit& hit, Pod& pod) {
-    return !cold(pod) || coldRoom(pod) >= weight(hit);
-}
 
 // Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes
 // one, so that over any span forwards stay under the free number plus the cap's share of the hits taken.
@@ -378,7 +374,7 @@
         told.standing != Standing::withdrawn)
         if (const auto found = answeredBy.find(hit.key); found != answeredBy.end())
             if (pod.build->number < found->second) return false;
-    return coldSpared(hit, pod);
+    return !cold(pod) || coldRoom(pod) >= 0;
 }
 
 // ---- The chain out: take, admit, choose, send. ----
@@ -458,13 +454,17 @@
         giveUp(hit);
         return Next::end;
     }
-    const auto first = chance() % best.size();
-    passage.pod = best[first];
-    if (best.size() > 1) {
-        auto* other = best[(first + 1 + chance() % (best.size() - 1)) % best.size()];
-        if ((other->out + 1) / warmth(*other) < (passage.pod->out + 1) / warmth(*passage.pod))
-            passage.pod = other;
-    }
+    // Two choices, each drawn by what the pod can do; a quiet sidecar's own load is mostly none and decides
+    // nothing.
+    const auto draw = [&] {
+        auto* pod = best[chance() % best.size()];
+        for (int turn = 0; turn < 3 && chance() % 1000 >= 1000 * warmth(*pod); ++turn)
+            pod = best[chance() % best.size()];
+        return pod;
+    };
+    passage.pod = draw();
+    auto* other = draw();
+    if (other->out / warmth(*other) < passage.pod->out / warmth(*passage.pod)) passage.pod = other;
     return Next::pass;
 }
 
@@ -596,7 +596,7 @@
             if (pod.build) pod.build->erred -= pod.erred;
             pod.erred = 0;
             pod.benchedUntil = 0;
-            pod.coldSpent = 0;
+            pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
             pod.coldMark = now;
         }
         pod.build = buildOf(line.build);
