--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -171,8 +171,6 @@
         Nanos when = 0, next = 0;  // last cast; no vote goes out before
     };
 
-    Parts(const Settings& settings, std::uint64_t seed, Door& door);
-
     // figures
     Door& door;
     std::mt19937 chance;
@@ -203,727 +201,697 @@
     std::vector<Tallies> calm;  // the last place: outcomes since start, halved from time to time
     Cast cast;
 
-    // rules
-    bool onTrial(const Build& build) const;
-    double cap(const Build& build) const;
-    double& allowance(Build& build, const PathGroup& group) const;
-    bool effectOnce(const Hit& hit, const Pod& pod) const;
-    bool mayBounce(const Hit& hit) const;
-    static bool drainKept(const Pod& pod) { return pod.availability == Availability::up; }
-    bool cold(const Pod& pod) const { return now - pod.started < coldTime; }
-    double warmth(const Pod& pod) const;
-    double coldRoom(Pod& pod);
-    bool exposureKept(const Hit& hit, const Pod& pod) const;
-    bool lawful(const Hit& hit, Pod& pod);
-    double weight(const Hit& hit) const;
-
-    // the chain out, and back
-    Next take(Passage& passage);
-    Next admit(Passage& passage);
-    double paceRoom() const;
-    Next choose(Passage& passage);
-    Next send(Passage& passage);
-    Next settle(Passage& passage);
-    Next learn(Passage& passage);
-    Next answer(Passage& passage);
-    void run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain);
-    void giveUp(Hit& hit);
-    bool overloaded() const;
-
-    // pods
-    bool wanted(const Hit& hit, const Pod& pod) const;
-    bool probation(const Pod& pod) const { return pod.benchings > 0 && pod.failsInARow > 0; }
-    void bench(Pod& pod);
-    void listed(bool whole, std::span<const Listing> lines);
-    Build* buildOf(int number);
-
-    // the trial
-    void newest(int build);
-    bool isVoter() const {
-        return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
-    }
-    bool lonely(Pod& pod, Build& build);
-    void count(const Forward& forward, Outcome outcome, Nanos took);
-    void pool();
-    void absorb(int peer, const Message& message);
-    void judge();
-    using Sides = std::vector<std::pair<const Side*, const Side*>>;
-    static std::pair<Side, Side> mixed(const Sides& sides);
-    bool knownCause() const;
-    bool slowerThanBefore(const Side& lately, const Side& before);
-    bool worse(const Side& newer, const Side& earlier, bool beside);
-    Verdict verdictNow();
-    Verdict echo() const;
-    void tellVerdict();
-    void castVote();
-    void measure();
-    void renewTick();
-};
-
-Balance::Parts::Parts(const Settings& told, std::uint64_t seed, Door& door_) : door(door_) {
-    std::seed_seq mix{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
-    chance.seed(mix);
-    epoch = static_cast<std::uint32_t>(chance()) | 1u;
-    me = told.index;
-    balancers = std::max(told.balancers, 1);
-    forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
-    closedStages = told.closedStages;
-    lastStage = static_cast<int>(told.caps.size()) - 1;
-    mayTell = told.mayTell;
-    askForList = told.askForList;
-    perGroup = told.perGroup;
-    oneWay = told.oneWay;
-    clocked = told.control == Control::clocked;
-    free = told.freeForwards;
-    window = told.exposureWindow;
-    firstCap = told.caps.empty() ? 0 : told.caps.front();
-    coldFrom = told.coldFrom;
-    coldExcess = std::max(1.0, told.fallMultiple * coldPart);
-    coldTime = told.coldTime;
-    countAfter = std::max(skipFirst, coldTime * 3 / 4);
-    renewAfter = told.voteLife / 2;
-    answerWait = told.answerWait;
-    rateGap =
-        static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
-    advice = told.adviseRetry ? told.maxRetryAfter : 0;
-    silentAfter = second;
-    calm.resize(told.groups.size());
-    settleFor = coldTime + poolEvery;
-    for (const auto& group : told.groups) {
-        silentAfter =
-            std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
-        Group made;
-        double edge = static_cast<double>(group.target);
-        for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made.edges[bin] = static_cast<Nanos>(edge);
-        groups.push_back(made);
+    Parts(const Settings& told, std::uint64_t seed, Door& door_) : door(door_) {
+        std::seed_seq mix{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
+        chance.seed(mix);
+        epoch = static_cast<std::uint32_t>(chance()) | 1u;
+        me = told.index;
+        balancers = std::max(told.balancers, 1);
+        forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
+        closedStages = told.closedStages;
+        lastStage = static_cast<int>(told.caps.size()) - 1;
+        mayTell = told.mayTell;
+        askForList = told.askForList;
+        perGroup = told.perGroup;
+        oneWay = told.oneWay;
+        clocked = told.control == Control::clocked;
+        free = told.freeForwards;
+        window = told.exposureWindow;
+        firstCap = told.caps.empty() ? 0 : told.caps.front();
+        coldFrom = told.coldFrom;
+        coldExcess = std::max(1.0, told.fallMultiple * coldPart);
+        coldTime = told.coldTime;
+        countAfter = std::max(skipFirst, coldTime * 3 / 4);
+        renewAfter = told.voteLife / 2;
+        answerWait = told.answerWait;
+        rateGap =
+            static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
+        advice = told.adviseRetry ? told.maxRetryAfter : 0;
+        silentAfter = second;
+        calm.resize(told.groups.size());
+        settleFor = coldTime + poolEvery;
+        for (const auto& group : told.groups) {
+            silentAfter =
+                std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
+            Group made;
+            double edge = static_cast<double>(group.target);
+            for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0))
+                made.edges[bin] = static_cast<Nanos>(edge);
+            groups.push_back(made);
+        }
     }
-}
-
-// ---- The five rules. send() is the one place that every forward passes, and it asks lawful(). ----
-
-bool Balance::Parts::onTrial(const Build& build) const {
-    return build.number > told.build || (build.number == told.build && told.standing != Standing::released);
-}
 
-// A build that the news does not name yet counts as in the first stage.
-double Balance::Parts::cap(const Build& build) const {
-    return build.number == told.build ? told.cap : firstCap;
-}
-
-double& Balance::Parts::allowance(Build& build, const PathGroup& group) const {
-    return build.allowance[perGroup ? static_cast<std::size_t>(group.index) : 0];
-}
+    // ---- The five rules. send() is the one place that every forward passes, and it asks lawful(). ----
 
-// No effect twice: what may have run goes again only where its path group drops or stands repeats.
-bool Balance::Parts::effectOnce(const Hit& hit, const Pod& pod) const {
-    for (const auto& earlier : hit.forwards) {
-        if (earlier.out) return false;  // never two at once
-        if (!earlier.mayHaveRun || hit.group->effect == Effect::repeatable) continue;
-        if (hit.group->effect == Effect::mutating || now >= earlier.sent + hit.group->window) return false;
-        if (hit.group->reach == Reach::zone && pod.zone != earlier.zone) return false;
-        if (hit.group->reach == Reach::cell && pod.cell != earlier.cell) return false;
+    bool onTrial(const Build& build) const {
+        return build.number > told.build ||
+               (build.number == told.build && told.standing != Standing::released);
     }
-    return true;
-}
 
-// A bounce promises that trying again is harmless.
-bool Balance::Parts::mayBounce(const Hit& hit) const {
-    if (hit.group->effect == Effect::repeatable) return true;
-    if (hit.group->effect == Effect::tagged && hit.group->reach == Reach::all) return true;
-    return std::none_of(hit.forwards.begin(), hit.forwards.end(), [](auto& sent) { return sent.mayHaveRun; });
-}
+    // A build that the news does not name yet counts as in the first stage.
+    double cap(const Build& build) const { return build.number == told.build ? told.cap : firstCap; }
 
-// The least that a pod of this age can do, as a share of a warm one.
-double Balance::Parts::warmth(const Pod& pod) const {
-    if (!cold(pod)) return 1;
-    const auto age = static_cast<double>(std::max<Nanos>(now - pod.started, 0));
-    return coldFrom + (1 - coldFrom) * age / static_cast<double>(coldTime);
-}
+    double& allowance(Build& build, const PathGroup& group) const {
+        return build.allowance[perGroup ? static_cast<std::size_t>(group.index) : 0];
+    }
 
-double Balance::Parts::weight(const Hit& hit) const {
-    return hit.work > 0 ? static_cast<double>(hit.work) : typicalWork > 0 ? typicalWork : 1.0;
-}
+    // No effect twice: what may have run goes again only where its path group drops or stands repeats.
+    bool effectOnce(const Hit& hit, const Pod& pod) const {
+        for (const auto& earlier : hit.forwards) {
+            if (earlier.out) return false;  // never two at once
+            if (!earlier.mayHaveRun || hit.group->effect == Effect::repeatable) continue;
+            if (hit.group->effect == Effect::mutating || now >= earlier.sent + hit.group->window)
+                return false;
+            if (hit.group->reach == Reach::zone && pod.zone != earlier.zone) return false;
+            if (hit.group->reach == Reach::cell && pod.cell != earlier.cell) return false;
+        }
+        return true;
+    }
 
-// A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less than
-// the multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep to of the
-// whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet sidecar's part is less
-// than a hit; so each starts up to one hit in debt, by chance, and hundreds of them still add up to their part.
-double Balance::Parts::coldRoom(Pod& pod) {
-    const auto since = std::max(pod.coldMark, pod.started);
-    pod.coldSpent +=
-        doneRate * warmth(pod) * coldExcess * static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
-    pod.coldMark = now;
-    return pod.coldSpent = std::min(pod.coldSpent, 0.0);
-}
+    static bool drainKept(const Pod& pod) { return pod.availability == Availability::up; }
+    bool cold(const Pod& pod) const { return now - pod.started < coldTime; }
 
+    // A bounce promises that trying again is harmless.
+    bool mayBounce(const Hit& hit) const {
+        if (hit.group->effect == Effect::repeatable) return true;
+        if (hit.group->effect == Effect::tagged && hit.group->reach == Reach::all) return true;
+        return std::none_of(hit.forwards.begin(), hit.forwards.end(),
+                            [](auto& sent) { return sent.mayHaveRun; });
+    }
 
-// Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward takes
-// one, so that over any span forwards stay under the free number plus the cap's share of the hits taken.
-bool Balance::Parts::exposureKept(const Hit& hit, const Pod& pod) const {
-    if (!onTrial(*pod.build)) return true;
-    const auto share = cap(*pod.build);
-    const auto stage = pod.build->number == told.build ? told.stage : 0;
-    if (share <= 0 || (stage < closedStages && hit.group->effect != Effect::repeatable)) return false;
-    return allowance(*pod.build, *hit.group) >= 1;
-}
+    // The least that a pod of this age can do, as a share of a warm one.
+    double warmth(const Pod& pod) const {
+        if (!cold(pod)) return 1;
+        const auto age = static_cast<double>(std::max<Nanos>(now - pod.started, 0));
+        return coldFrom + (1 - coldFrom) * age / static_cast<double>(coldTime);
+    }
 
-bool Balance::Parts::lawful(const Hit& hit, Pod& pod) {
-    if (hit.ended || now >= hit.deadline) return false;  // every hit one answer, and nothing after it
-    if (!drainKept(pod) || !effectOnce(hit, pod) || !exposureKept(hit, pod)) return false;
-    if (oneWay && !hit.key.empty() && told.standing != Standing::goingBack &&
-        told.standing != Standing::withdrawn)
-        if (const auto found = answeredBy.find(hit.key); found != answeredBy.end())
-            if (pod.build->number < found->second) return false;
-    return !cold(pod) || coldRoom(pod) >= 0;
-}
+    double weight(const Hit& hit) const {
+        return hit.work > 0 ? static_cast<double>(hit.work) : typicalWork > 0 ? typicalWork : 1.0;
+    }
 
-// ---- The chain out: take, admit, choose, send. ----
+    // A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less
+    // than the multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep
+    // to of the whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet
+    // sidecar's part is less than a hit; so each starts up to one hit in debt, by chance, and hundreds of
+    // them still add up to their part.
+    double coldRoom(Pod& pod) {
+        const auto since = std::max(pod.coldMark, pod.started);
+        pod.coldSpent += doneRate * warmth(pod) * coldExcess *
+                         static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
+        pod.coldMark = now;
+        return pod.coldSpent = std::min(pod.coldSpent, 0.0);
+    }
 
-void Balance::Parts::run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain) {
-    for (auto stage : chain)
-        if ((this->*stage)(passage) != Next::pass) return;
-}
+    // Exposure: each hit taken adds the cap to an allowance no deeper than the free number, each forward
+    // takes one, so that over any span forwards stay under the free number plus the cap's share of the hits
+    // taken.
+    bool exposureKept(const Hit& hit, const Pod& pod) const {
+        if (!onTrial(*pod.build)) return true;
+        const auto share = cap(*pod.build);
+        const auto stage = pod.build->number == told.build ? told.stage : 0;
+        if (share <= 0 || (stage < closedStages && hit.group->effect != Effect::repeatable)) return false;
+        return allowance(*pod.build, *hit.group) >= 1;
+    }
 
-Balance::Parts::Next Balance::Parts::take(Passage& passage) {
-    if (!passage.hit.repeated) ++arrived;
-    for (auto* build : present) {
-        auto& allowed = allowance(*build, *passage.hit.group);
-        allowed = std::min(free, allowed + cap(*build));
+    bool lawful(const Hit& hit, Pod& pod) {
+        if (hit.ended || now >= hit.deadline) return false;  // every hit one answer, and nothing after it
+        if (!drainKept(pod) || !effectOnce(hit, pod) || !exposureKept(hit, pod)) return false;
+        if (oneWay && !hit.key.empty() && told.standing != Standing::goingBack &&
+            told.standing != Standing::withdrawn)
+            if (const auto found = answeredBy.find(hit.key); found != answeredBy.end())
+                if (pod.build->number < found->second) return false;
+        return !cold(pod) || coldRoom(pod) >= 0;
     }
-    if (passage.hit.work > 0)
-        typicalWork += (static_cast<double>(passage.hit.work) - typicalWork) / (typicalWork > 0 ? 64 : 1);
-    return Next::pass;
-}
 
-// What the pace of answers in time clears within a part of the target latency.
-double Balance::Parts::paceRoom() const {
-    double sum = 0;
-    for (auto pace : paces) sum += pace;
-    return sum / static_cast<double>((paceTicks - 1) * tickEvery + tickEvery / 2);
-}
+    // ---- The chain out: take, admit, choose, send. ----
 
-// Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no more
-// hits are open than the pace of answers in time can clear within a part of the target latency. Hits that
-// hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for another
-// cause bounces hits for up to a second, down to one hit for every other pod.
-Balance::Parts::Next Balance::Parts::admit(Passage& passage) {
-    double open = 0, usable = 0;
-    for (auto* pod : pods)
-        if (pod->availability == Availability::up && wanted(passage.hit, *pod)) open += pod->out, ++usable;
-    const double floor =
-        ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
-    if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
-    limited = now;
-    // To rank now against the time before a build, a hit kept out is as good as late: else the limit would
-    // hide that a build slows all pods.
-    const auto group = static_cast<std::size_t>(passage.hit.group->index);
-    if (trial.build >= 0) ++trial.own[group][1].keptOut;
-    ++calm[group].back().bins[lastBin];
-    giveUp(passage.hit);
-    return Next::end;
-}
+    void run(Passage passage, std::initializer_list<Next (Parts::*)(Passage&)> chain) {
+        for (auto stage : chain)
+            if ((this->*stage)(passage) != Next::pass) return;
+    }
 
-// A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until it
-// speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit to show
-// itself.
-bool Balance::Parts::wanted(const Hit& hit, const Pod& pod) const {
-    if (now < pod.benchedUntil || (pod.out > 0 && now - pod.heard > silentAfter)) return false;
-    return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
-}
+    Next take(Passage& passage) {
+        if (!passage.hit.repeated) ++arrived;
+        for (auto* build : present) {
+            auto& allowed = allowance(*build, *passage.hit.group);
+            allowed = std::min(free, allowed + cap(*build));
+        }
+        if (passage.hit.work > 0)
+            typicalWork += (static_cast<double>(passage.hit.work) - typicalWork) / (typicalWork > 0 ? 64 : 1);
+        return Next::pass;
+    }
 
-Balance::Parts::Next Balance::Parts::choose(Passage& passage) {
-    auto& hit = passage.hit;
-    const bool further = !hit.forwards.empty();
-    // Preference falls in steps: a healthy pod, then any; further forwards first go to an earlier build.
-    std::vector<Pod*> best;
-    int bestRank = 8;
-    for (auto* pod : pods) {
-        int rank = wanted(hit, *pod) && now >= pod->fullUntil ? 0 : 1;
-        if (further && pod == hit.forwards.back().pod) rank += 2;
-        if (further && onTrial(*pod->build)) rank += 4;
-        if (rank > bestRank || !lawful(hit, *pod)) continue;
-        if (rank < bestRank) best.clear();
-        bestRank = rank;
-        best.push_back(pod);
+    // What the pace of answers in time clears within a part of the target latency.
+    double paceRoom() const {
+        double sum = 0;
+        for (auto pace : paces) sum += pace;
+        return sum / static_cast<double>((paceTicks - 1) * tickEvery + tickEvery / 2);
     }
-    // Away from the build on trial, unless no pod of an earlier build is left at all.
-    if (bestRank >= 4)
+
+    // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no
+    // more hits are open than the pace of answers in time can clear within a part of the target latency. Hits
+    // that hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for
+    // another cause bounces hits for up to a second, down to one hit for every other pod.
+    Next admit(Passage& passage) {
+        double open = 0, usable = 0;
         for (auto* pod : pods)
-            if (pod->availability == Availability::up && !onTrial(*pod->build)) best.clear();
-    if (best.empty()) {
-        giveUp(hit);
+            if (pod->availability == Availability::up && wanted(passage.hit, *pod))
+                open += pod->out, ++usable;
+        const double floor =
+            ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
+        if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
+        limited = now;
+        // To rank now against the time before a build, a hit kept out is as good as late: else the limit
+        // would hide that a build slows all pods.
+        const auto group = static_cast<std::size_t>(passage.hit.group->index);
+        if (trial.build >= 0) ++trial.own[group][1].keptOut;
+        ++calm[group].back().bins[lastBin];
+        giveUp(passage.hit);
         return Next::end;
     }
-    // Two choices, each drawn by what the pod can do; a quiet sidecar's own load is mostly none and decides
-    // nothing.
-    const auto draw = [&] {
-        auto* pod = best[chance() % best.size()];
-        for (int turn = 0; turn < 3 && chance() % 1000 >= 1000 * warmth(*pod); ++turn)
-            pod = best[chance() % best.size()];
-        return pod;
-    };
-    passage.pod = draw();
-    auto* other = draw();
-    if (other->out / warmth(*other) < passage.pod->out / warmth(*passage.pod)) passage.pod = other;
-    return Next::pass;
-}
 
-Balance::Parts::Next Balance::Parts::send(Passage& passage) {
-    auto& hit = passage.hit;
-    auto& pod = *passage.pod;
-    if (!lawful(hit, pod)) {
-        giveUp(hit);
-        return Next::end;
+    // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until
+    // it speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit
+    // to show itself.
+    bool wanted(const Hit& hit, const Pod& pod) const {
+        if (now < pod.benchedUntil || (pod.out > 0 && now - pod.heard > silentAfter)) return false;
+        return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
     }
-    if (cold(pod)) pod.coldSpent -= weight(hit);
-    if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
-    if (probation(pod)) pod.sampled = true;
-    if (pod.out++ == 0) pod.heard = now;
-    hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
-    door.forward(hit.forwards.back(), hit.deadline - now);
-    return Next::keep;
-}
 
-// One final answer, at once: a bounce where it may be promised, else an error.
-void Balance::Parts::giveUp(Hit& hit) {
-    hit.ended = true;
-    if (now < hit.deadline && mayBounce(hit)) door.bounce(hit, overloaded() || limited == now ? advice : 0);
-    else door.error(hit);
-}
+    Next choose(Passage& passage) {
+        auto& hit = passage.hit;
+        const bool further = !hit.forwards.empty();
+        // Preference falls in steps: a healthy pod, then any; further forwards first go to an earlier build.
+        std::vector<Pod*> best;
+        int bestRank = 8;
+        for (auto* pod : pods) {
+            int rank = wanted(hit, *pod) && now >= pod->fullUntil ? 0 : 1;
+            if (further && pod == hit.forwards.back().pod) rank += 2;
+            if (further && onTrial(*pod->build)) rank += 4;
+            if (rank > bestRank || !lawful(hit, *pod)) continue;
+            if (rank < bestRank) best.clear();
+            bestRank = rank;
+            best.push_back(pod);
+        }
+        // Away from the build on trial, unless no pod of an earlier build is left at all.
+        if (bestRank >= 4)
+            for (auto* pod : pods)
+                if (pod->availability == Availability::up && !onTrial(*pod->build)) best.clear();
+        if (best.empty()) {
+            giveUp(hit);
+            return Next::end;
+        }
+        // Two choices, each drawn by what the pod can do; a quiet sidecar's own load is mostly none and
+        // decides nothing.
+        const auto draw = [&] {
+            auto* pod = best[chance() % best.size()];
+            for (int turn = 0; turn < 3 && chance() % 1000 >= 1000 * warmth(*pod); ++turn)
+                pod = best[chance() % best.size()];
+            return pod;
+        };
+        passage.pod = draw();
+        auto* other = draw();
+        if (other->out / warmth(*other) < passage.pod->out / warmth(*passage.pod)) passage.pod = other;
+        return Next::pass;
+    }
 
-// ---- The chain back: settle, learn, answer. ----
-
-Balance::Parts::Next Balance::Parts::settle(Passage& passage) {
-    auto& forward = *passage.forward;
-    forward.out = false;
-    --forward.pod->out;
-    forward.pod->heard = now;
-    forward.mayHaveRun = passage.outcome != Outcome::saturated && passage.outcome != Outcome::unreached &&
-                         passage.outcome != Outcome::superseded;
-    if (passage.closed) passage.hit.ended = true;
-    return Next::pass;
-}
+    Next send(Passage& passage) {
+        auto& hit = passage.hit;
+        auto& pod = *passage.pod;
+        if (!lawful(hit, pod)) {
+            giveUp(hit);
+            return Next::end;
+        }
+        if (cold(pod)) pod.coldSpent -= weight(hit);
+        if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
+        if (probation(pod)) pod.sampled = true;
+        if (pod.out++ == 0) pod.heard = now;
+        hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
+        door.forward(hit.forwards.back(), hit.deadline - now);
+        return Next::keep;
+    }
 
-Balance::Parts::Next Balance::Parts::learn(Passage& passage) {
-    auto& forward = *passage.forward;
-    auto& pod = *forward.pod;
-    const auto outcome = passage.outcome;
-    if (outcome == Outcome::superseded || outcome == Outcome::recalled) return Next::pass;
-    // A full pod answers at once and so looks idle by own load: it would draw all hits. It rests for a
-    // moment.
-    if (outcome == Outcome::saturated) pod.fullUntil = now + silentAfter;
-    count(forward, outcome, passage.took);
-    pod.sampled = false;
-    const bool well = outcome == Outcome::delivered;
-    // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look like
-    // its own.
-    const bool blame = !well && outcome != Outcome::saturated;
-    if (well) {
-        done += weight(passage.hit);
-        const auto target = passage.hit.group->target;
-        if (passage.took <= target) paces[ticks % paceTicks] += static_cast<double>(target) * openPart;
-        pod.failsInARow = 0;
-        if (pod.tries[0] > 8) pod.benchings = 0;
+    // One final answer, at once: a bounce where it may be promised, else an error.
+    void giveUp(Hit& hit) {
+        hit.ended = true;
+        if (now < hit.deadline && mayBounce(hit))
+            door.bounce(hit, overloaded() || limited == now ? advice : 0);
+        else door.error(hit);
     }
-    if (blame) ++pod.failsInARow;
-    if (well || blame) {
-        if (++pod.tries[well ? 0 : 1] + pod.tries[well ? 1 : 0] >= 16)
-            for (auto& tries : pod.tries) tries /= 2;
-        if (blame && pod.tries[1] >= 3 && pod.tries[1] * 3 >= pod.tries[0]) bench(pod);
+
+    // ---- The chain back: settle, learn, answer. ----
+
+    Next settle(Passage& passage) {
+        auto& forward = *passage.forward;
+        forward.out = false;
+        --forward.pod->out;
+        forward.pod->heard = now;
+        forward.mayHaveRun = passage.outcome != Outcome::saturated && passage.outcome != Outcome::unreached &&
+                             passage.outcome != Outcome::superseded;
+        if (passage.closed) passage.hit.ended = true;
+        return Next::pass;
     }
-    const bool late = outcome == Outcome::saturated || outcome == Outcome::overdue ||
-                      (well && passage.took > passage.hit.group->target);
-    if (now >= pod.benchedUntil && (well || late))
-        if (++recent[late ? 1 : 0] + recent[late ? 0 : 1] >= 64)
-            for (auto& some : recent) some /= 2;
-    if (well && oneWay && !passage.hit.key.empty() && onTrial(*forward.build))
-        answeredBy[passage.hit.key] = forward.build->number;
-    return Next::pass;
-}
 
-Balance::Parts::Next Balance::Parts::answer(Passage& passage) {
-    auto& hit = passage.hit;
-    if (hit.ended) return Next::end;
-    const bool more =
-        static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
-    if (!more) {
-        giveUp(hit);
-        return Next::end;
+    Next learn(Passage& passage) {
+        auto& forward = *passage.forward;
+        auto& pod = *forward.pod;
+        const auto outcome = passage.outcome;
+        if (outcome == Outcome::superseded || outcome == Outcome::recalled) return Next::pass;
+        // A full pod answers at once and so looks idle by own load: it would draw all hits. It rests for a
+        // moment.
+        if (outcome == Outcome::saturated) pod.fullUntil = now + silentAfter;
+        count(forward, outcome, passage.took);
+        pod.sampled = false;
+        const bool well = outcome == Outcome::delivered;
+        // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look
+        // like its own.
+        const bool blame = !well && outcome != Outcome::saturated;
+        if (well) {
+            done += weight(passage.hit);
+            const auto target = passage.hit.group->target;
+            if (passage.took <= target) paces[ticks % paceTicks] += static_cast<double>(target) * openPart;
+            pod.failsInARow = 0;
+            if (pod.tries[0] > 8) pod.benchings = 0;
+        }
+        if (blame) ++pod.failsInARow;
+        if (well || blame) {
+            if (++pod.tries[well ? 0 : 1] + pod.tries[well ? 1 : 0] >= 16)
+                for (auto& tries : pod.tries) tries /= 2;
+            if (blame && pod.tries[1] >= 3 && pod.tries[1] * 3 >= pod.tries[0]) bench(pod);
+        }
+        const bool late = outcome == Outcome::saturated || outcome == Outcome::overdue ||
+                          (well && passage.took > passage.hit.group->target);
+        if (now >= pod.benchedUntil && (well || late))
+            if (++recent[late ? 1 : 0] + recent[late ? 0 : 1] >= 64)
+                for (auto& some : recent) some /= 2;
+        if (well && oneWay && !passage.hit.key.empty() && onTrial(*forward.build))
+            answeredBy[passage.hit.key] = forward.build->number;
+        return Next::pass;
     }
-    run({hit}, {&Parts::choose, &Parts::send});
-    return Next::keep;
-}
 
-// The sidecar sees overload when a third of its own outcomes lately came late or were turned away.
-bool Balance::Parts::overloaded() const { return recent[0] + recent[1] >= 16 && recent[1] * 2 > recent[0]; }
+    Next answer(Passage& passage) {
+        auto& hit = passage.hit;
+        if (hit.ended) return Next::end;
+        const bool more =
+            static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
+        if (!more) {
+            giveUp(hit);
+            return Next::end;
+        }
+        run({hit}, {&Parts::choose, &Parts::send});
+        return Next::keep;
+    }
 
-// ---- Pods: the list, and which are left out for a while. ----
+    // The sidecar sees overload when a third of its own outcomes lately came late or were turned away.
+    bool overloaded() const { return recent[0] + recent[1] >= 16 && recent[1] * 2 > recent[0]; }
 
-// Never more than half of the pods: if most fail, the cause lies elsewhere and sending on is better.
-void Balance::Parts::bench(Pod& pod) {
-    const auto benched =
-        std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
-    if (benched * 2 >= static_cast<std::ptrdiff_t>(pods.size())) return;
-    pod.benchedUntil = now + (benchFor << std::min(pod.benchings, benchDoublings));
-    ++pod.benchings;
-    pod.tries = {0, 2};
-}
+    // ---- Pods: the list, and which are left out for a while. ----
+
+    bool probation(const Pod& pod) const { return pod.benchings > 0 && pod.failsInARow > 0; }
 
-Build* Balance::Parts::buildOf(int number) {
-    auto& build = builds[number];
-    if (!build) {
-        build = std::make_unique<Build>();
-        build->number = number;
-        // A quiet sidecar may use the free number at once; one that starts may have used it before it stopped.
-        const bool fresh = born >= 0 && now - born >= window;
-        build->allowance.assign(perGroup ? groups.size() : 1, fresh ? free : 0.0);
+    // Never more than half of the pods: if most fail, the cause lies elsewhere and sending on is better.
+    void bench(Pod& pod) {
+        const auto benched =
+            std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
+        if (benched * 2 >= static_cast<std::ptrdiff_t>(pods.size())) return;
+        pod.benchedUntil = now + (benchFor << std::min(pod.benchings, benchDoublings));
+        ++pod.benchings;
+        pod.tries = {0, 2};
     }
-    return build.get();
-}
 
-void Balance::Parts::listed(bool whole, std::span<const Listing> lines) {
-    std::vector<Pod*> before;
-    if (whole) {
-        before.swap(pods);
-        for (auto* pod : before) pod->availability = Availability::gone;
+    Build* buildOf(int number) {
+        auto& build = builds[number];
+        if (!build) {
+            build = std::make_unique<Build>();
+            build->number = number;
+            // A quiet sidecar may use the free number at once; one that starts may have used it before it
+            // stopped.
+            const bool fresh = born >= 0 && now - born >= window;
+            build->allowance.assign(perGroup ? groups.size() : 1, fresh ? free : 0.0);
+        }
+        return build.get();
     }
-    int highest = told.build;
-    for (const auto& line : lines) {
-        auto& pod = *line.pod;
-        if (line.started != pod.started) {  // another process: nothing known of it, and cold
-            pod.tries = {};
-            pod.failsInARow = pod.benchings = 0;
-            if (pod.build) pod.build->erred -= pod.erred;
-            pod.erred = 0;
-            pod.benchedUntil = 0;
-            pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
-            pod.coldMark = now;
+
+    void listed(bool whole, std::span<const Listing> lines) {
+        std::vector<Pod*> before;
+        if (whole) {
+            before.swap(pods);
+            for (auto* pod : before) pod->availability = Availability::gone;
         }
-        pod.build = buildOf(line.build);
-        pod.zone = line.zone;
-        pod.cell = line.cell;
-        pod.started = line.started;
-        pod.availability = line.availability;
-        highest = std::max(highest, line.build);
-        const auto held = std::find(pods.begin(), pods.end(), &pod);
-        if (line.availability == Availability::gone) {
-            if (held != pods.end()) pods.erase(held);
-        } else if (held == pods.end()) {
-            pods.push_back(&pod);
+        int highest = told.build;
+        for (const auto& line : lines) {
+            auto& pod = *line.pod;
+            if (line.started != pod.started) {  // another process: nothing known of it, and cold
+                pod.tries = {};
+                pod.failsInARow = pod.benchings = 0;
+                if (pod.build) pod.build->erred -= pod.erred;
+                pod.erred = 0;
+                pod.benchedUntil = 0;
+                pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
+                pod.coldMark = now;
+            }
+            pod.build = buildOf(line.build);
+            pod.zone = line.zone;
+            pod.cell = line.cell;
+            pod.started = line.started;
+            pod.availability = line.availability;
+            highest = std::max(highest, line.build);
+            const auto held = std::find(pods.begin(), pods.end(), &pod);
+            if (line.availability == Availability::gone) {
+                if (held != pods.end()) pods.erase(held);
+            } else if (held == pods.end()) {
+                pods.push_back(&pod);
+            }
         }
+        std::sort(pods.begin(), pods.end(), [](auto* one, auto* other) { return one->id < other->id; });
+        present.clear();
+        for (auto* pod : pods)
+            if (onTrial(*pod->build) &&
+                std::find(present.begin(), present.end(), pod->build) == present.end())
+                present.push_back(pod->build);
+        newest(highest);
     }
-    std::sort(pods.begin(), pods.end(), [](auto* one, auto* other) { return one->id < other->id; });
-    present.clear();
-    for (auto* pod : pods)
-        if (onTrial(*pod->build) && std::find(present.begin(), present.end(), pod->build) == present.end())
-            present.push_back(pod->build);
-    newest(highest);
-}
 
-// ---- The trial: counting, pooling, the test, the votes. ----
-
-void Balance::Parts::newest(int build) {
-    if (build <= trial.build) return;
-    trial = Trial{};
-    trial.build = build;
-    trial.demandBefore = demand;
-    trial.podsBefore = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
-    const auto n = static_cast<std::size_t>(balancers);
-    trial.own = calm;
-    calm.assign(groups.size(), {});
-    trial.lately.resize(groups.size());
-    trial.senders.resize(n);
-    for (auto& sender : trial.senders) sender.seq.resize(groups.size()), sender.last.resize(groups.size());
-    trial.sums.resize(groups.size());
-    trial.verdicts.resize(n);
-    // Three voters, hashed from the build number: the same at every sidecar.
-    std::vector<std::pair<std::uint64_t, int>> order;
-    for (int peer = 0; peer < balancers; ++peer) {
-        std::uint64_t hash = (static_cast<std::uint64_t>(build) << 20) + static_cast<std::uint64_t>(peer) + 1;
-        for (int turn = 0; turn < 2; ++turn) hash = (hash ^ (hash >> 31)) * 0x9e3779b97f4a7c15ull;
-        order.emplace_back(hash ^ (hash >> 32), peer);
+    // ---- The trial: counting, pooling, the test, the votes. ----
+
+    void newest(int build) {
+        if (build <= trial.build) return;
+        trial = Trial{};
+        trial.build = build;
+        trial.demandBefore = demand;
+        trial.podsBefore = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
+        const auto n = static_cast<std::size_t>(balancers);
+        trial.own = calm;
+        calm.assign(groups.size(), {});
+        trial.lately.resize(groups.size());
+        trial.senders.resize(n);
+        for (auto& sender : trial.senders)
+            sender.seq.resize(groups.size()), sender.last.resize(groups.size());
+        trial.sums.resize(groups.size());
+        trial.verdicts.resize(n);
+        // Three voters, hashed from the build number: the same at every sidecar.
+        std::vector<std::pair<std::uint64_t, int>> order;
+        for (int peer = 0; peer < balancers; ++peer) {
+            std::uint64_t hash =
+                (static_cast<std::uint64_t>(build) << 20) + static_cast<std::uint64_t>(peer) + 1;
+            for (int turn = 0; turn < 2; ++turn) hash = (hash ^ (hash >> 31)) * 0x9e3779b97f4a7c15ull;
+            order.emplace_back(hash ^ (hash >> 32), peer);
+        }
+        std::sort(order.begin(), order.end());
+        for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
     }
-    std::sort(order.begin(), order.end());
-    for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
-}
-
-// Exception: errors that come from one or two pods among several are those pods' trouble, not their build's,
-// and do not count. A build that errs does so on all its pods; with a single pod there is nothing to compare,
-// and its errors count. Guards against failing machines that by chance run the new build. Harm: a build whose
-// fault shows on two pods only is found later, when more have it.
-bool Balance::Parts::lonely(Pod& pod, Build& build) {
-    if (pod.build != &build) return true;  // another build runs there by now
-    ++pod.erred, ++build.erred;
-    const auto alike =
-        std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
-    return alike > 1 && pod.erred > 1 + (build.erred - pod.erred) / std::min<std::ptrdiff_t>(2, alike - 1);
-}
 
-// Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
-void Balance::Parts::count(const Forward& forward, Outcome outcome, Nanos took) {
-    if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
-    if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
-    const auto age = forward.sent - forward.pod->started;
-    if (age < skipFirst || (outcome == Outcome::errored && lonely(*forward.pod, *forward.build))) return;
-    const bool isNew = forward.build->number == trial.build;
-    if (isNew && trial.counted < 0) trial.counted = now;
-    if (age < countAfter) return;
-    const auto group = static_cast<std::size_t>(forward.hit->group->index);
-    auto& tally = trial.own[group][isNew ? 0 : 1];
-    int bin = lastBin;
-    if (outcome == Outcome::delivered) {
-        const auto& edges = groups[group].edges;
-        bin = static_cast<int>(std::upper_bound(edges.begin(), edges.end(), took) - edges.begin());
+    bool isVoter() const {
+        return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
     }
-    ++tally.bins[static_cast<std::size_t>(bin)];
-    if (outcome == Outcome::errored) ++tally.errored;
-    auto& past = calm[group].back().bins;
-    if (++past[static_cast<std::size_t>(bin)] >= calmHalveAt)
-        for (auto& some : past) some /= 2;
-}
 
-// Every two seconds the counts go to the voters. Each message carries the sums since the build was seen, of
-// which a voter adds what is new to it: a lost, repeated or late message then changes nothing in the end.
-void Balance::Parts::pool() {
-    if (trial.build < 0 || told.standing == Standing::withdrawn) return;
-    Message head;
-    head.epoch = epoch;
-    head.seq = ++seq;
-    head.build = static_cast<std::uint32_t>(trial.build);
-    const auto messages = encodeCounts(head, trial.own);
-    for (int voter : trial.voters) {
-        if (voter == me) {
-            head.groups = trial.own;
-            absorb(me, head);
-        } else if (mayTell) {
-            for (const auto& bytes : messages) door.tell(voter, bytes);
-        }
+    // Exception: errors that come from one or two pods among several are those pods' trouble, not their
+    // build's, and do not count. A build that errs does so on all its pods; with a single pod there is
+    // nothing to compare, and its errors count. Guards against failing machines that by chance run the new
+    // build. Harm: a build whose fault shows on two pods only is found later, when more have it.
+    bool lonely(Pod& pod, Build& build) {
+        if (pod.build != &build) return true;  // another build runs there by now
+        ++pod.erred, ++build.erred;
+        const auto alike =
+            std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
+        return alike > 1 &&
+               pod.erred > 1 + (build.erred - pod.erred) / std::min<std::ptrdiff_t>(2, alike - 1);
     }
-    if (isVoter()) {
-        judge();
-        tellVerdict();
-        for (std::size_t group = 0; group < groups.size(); ++group) {
-            for (auto& bin : trial.lately[group].bins) bin /= 2;
-            for (auto& side : trial.sums[group]) side.recent /= 2;
+
+    // Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
+    void count(const Forward& forward, Outcome outcome, Nanos took) {
+        if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
+        if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
+        const auto age = forward.sent - forward.pod->started;
+        if (age < skipFirst || (outcome == Outcome::errored && lonely(*forward.pod, *forward.build))) return;
+        const bool isNew = forward.build->number == trial.build;
+        if (isNew && trial.counted < 0) trial.counted = now;
+        if (age < countAfter) return;
+        const auto group = static_cast<std::size_t>(forward.hit->group->index);
+        auto& tally = trial.own[group][isNew ? 0 : 1];
+        int bin = lastBin;
+        if (outcome == Outcome::delivered) {
+            const auto& edges = groups[group].edges;
+            bin = static_cast<int>(std::upper_bound(edges.begin(), edges.end(), took) - edges.begin());
         }
+        ++tally.bins[static_cast<std::size_t>(bin)];
+        if (outcome == Outcome::errored) ++tally.errored;
+        auto& past = calm[group].back().bins;
+        if (++past[static_cast<std::size_t>(bin)] >= calmHalveAt)
+            for (auto& some : past) some /= 2;
     }
-}
 
-void Balance::Parts::absorb(int peer, const Message& message) {
-    auto& sender = trial.senders[static_cast<std::size_t>(peer)];
-    if (message.epoch != sender.epoch) {
-        if (message.epoch == sender.before) return;  // from before the sender's restart
-        sender.before = sender.epoch;
-        sender.epoch = message.epoch;
-        std::fill(sender.seq.begin(), sender.seq.end(), 0);
-        std::fill(sender.last.begin(), sender.last.end(), Tallies{});
-    }
-    for (std::size_t at = 0; at < message.groups.size(); ++at) {
-        const auto group = message.firstGroup + at;
-        if (group >= groups.size() || message.seq <= sender.seq[group]) continue;
-        sender.seq[group] = message.seq;
-        for (std::size_t which = 0; which < message.groups[at].size(); ++which) {
-            const auto& came = message.groups[at][which];
-            const auto& had = sender.last[group][which];
-            auto& side = trial.sums[group][which];
-            double grew = 0;
-            for (int bin = 0; bin < latencyBins; ++bin) {
-                const double more = came.bins[bin] > had.bins[bin] ? came.bins[bin] - had.bins[bin] : 0;
-                side.bins[bin] += more;
-                if (which < 2) trial.lately[group].bins[bin] += more;
-                grew += more;
+    // Every two seconds the counts go to the voters. Each message carries the sums since the build was seen,
+    // of which a voter adds what is new to it: a lost, repeated or late message then changes nothing in the
+    // end.
+    void pool() {
+        if (trial.build < 0 || told.standing == Standing::withdrawn) return;
+        Message head;
+        head.epoch = epoch;
+        head.seq = ++seq;
+        head.build = static_cast<std::uint32_t>(trial.build);
+        const auto messages = encodeCounts(head, trial.own);
+        for (int voter : trial.voters) {
+            if (voter == me) {
+                head.groups = trial.own;
+                absorb(me, head);
+            } else if (mayTell) {
+                for (const auto& bytes : messages) door.tell(voter, bytes);
             }
-            side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
-            side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
-            side.recent += grew;
-            trial.lately[group].bins[lastBin] += came.keptOut > had.keptOut ? came.keptOut - had.keptOut : 0;
-            if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
-            if (side.all() > halveAt) {
-                for (auto& bin : side.bins) bin /= 2;
-                side.errored /= 2, side.flagged /= 2;
+        }
+        if (isVoter()) {
+            judge();
+            tellVerdict();
+            for (std::size_t group = 0; group < groups.size(); ++group) {
+                for (auto& bin : trial.lately[group].bins) bin /= 2;
+                for (auto& side : trial.sums[group]) side.recent /= 2;
             }
-            sender.last[group][which] = came;
         }
     }
-}
 
-void Balance::Parts::judge() {
-    trial.judged = now;
-    if (trial.verdict == Verdict::back) return;  // stands for this build
-    const auto before = trial.verdict;
-    trial.verdict = verdictNow();
-    if (trial.verdict != before) tellVerdict();
-    castVote();
-}
+    void absorb(int peer, const Message& message) {
+        auto& sender = trial.senders[static_cast<std::size_t>(peer)];
+        if (message.epoch != sender.epoch) {
+            if (message.epoch == sender.before) return;  // from before the sender's restart
+            sender.before = sender.epoch;
+            sender.epoch = message.epoch;
+            std::fill(sender.seq.begin(), sender.seq.end(), 0);
+            std::fill(sender.last.begin(), sender.last.end(), Tallies{});
+        }
+        for (std::size_t at = 0; at < message.groups.size(); ++at) {
+            const auto group = message.firstGroup + at;
+            if (group >= groups.size() || message.seq <= sender.seq[group]) continue;
+            sender.seq[group] = message.seq;
+            for (std::size_t which = 0; which < message.groups[at].size(); ++which) {
+                const auto& came = message.groups[at][which];
+                const auto& had = sender.last[group][which];
+                auto& side = trial.sums[group][which];
+                double grew = 0;
+                for (int bin = 0; bin < latencyBins; ++bin) {
+                    const double more = came.bins[bin] > had.bins[bin] ? came.bins[bin] - had.bins[bin] : 0;
+                    side.bins[bin] += more;
+                    if (which < 2) trial.lately[group].bins[bin] += more;
+                    grew += more;
+                }
+                side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
+                side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
+                side.recent += grew;
+                trial.lately[group].bins[lastBin] +=
+                    came.keptOut > had.keptOut ? came.keptOut - had.keptOut : 0;
+                if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
+                if (side.all() > halveAt) {
+                    for (auto& bin : side.bins) bin /= 2;
+                    side.errored /= 2, side.flagged /= 2;
+                }
+                sender.last[group][which] = came;
+            }
+        }
+    }
 
-// One side by side look at a new build and an earlier one, over one path group or over all.
-bool Balance::Parts::worse(const Side& newer, const Side& earlier, bool beside) {
-    const double n = newer.all(), m = earlier.all();
-    if (n < leastOutcomes || m < leastOutcomes) return false;
-    const auto fails = [&](const Bins& x, const Bins& y, double bar) {
-        return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
-    };
-    const auto two = [](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
-    if (fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2)) return true;
-    if (fails(two(newer.flagged, n), two(earlier.flagged, m), 0.5 - flagMargin / 2)) return true;
-    return beside &&
-           (fails(newer.bins, earlier.bins, backBar) ||
-            fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
-}
+    void judge() {
+        trial.judged = now;
+        if (trial.verdict == Verdict::back) return;  // stands for this build
+        const auto before = trial.verdict;
+        trial.verdict = verdictNow();
+        if (trial.verdict != before) tellVerdict();
+        castVote();
+    }
 
-// Sums over all path groups; the second side is mixed as the first one's hits are, since some stages are
-// closed to some path groups, and the mix of hits changes.
-std::pair<Balance::Parts::Side, Balance::Parts::Side> Balance::Parts::mixed(const Sides& sides) {
-    double most = 0;
-    for (const auto& [one, other] : sides)
-        if (other->all() > 0) most = std::max(most, one->all() / other->all());
-    Side x, y;
-    for (const auto& [one, other] : sides) {
-        if (one->all() <= 0 || other->all() <= 0) continue;
-        x.add(*one, 1);
-        y.add(*other, one->all() / other->all() / most);
+    // One side by side look at a new build and an earlier one, over one path group or over all.
+    bool worse(const Side& newer, const Side& earlier, bool beside) {
+        const double n = newer.all(), m = earlier.all();
+        if (n < leastOutcomes || m < leastOutcomes) return false;
+        const auto fails = [&](const Bins& x, const Bins& y, double bar) {
+            return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
+        };
+        const auto two = [](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
+        if (fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2)) return true;
+        if (fails(two(newer.flagged, n), two(earlier.flagged, m), 0.5 - flagMargin / 2)) return true;
+        return beside &&
+               (fails(newer.bins, earlier.bins, backBar) ||
+                fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
     }
-    return {x, y};
-}
 
-// Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build does,
-// and so does a burst. Clients' retries do not count for one: a slow build draws them.
-bool Balance::Parts::knownCause() const {
-    const auto up = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
-    if (demand > trial.demandBefore * demandRise) return true;
-    return static_cast<double>(up) < static_cast<double>(trial.podsBefore) * podsKept ||
-           std::any_of(pods.begin(), pods.end(),
-                       [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
-}
+    using Sides = std::vector<std::pair<const Side*, const Side*>>;
 
-// Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new
-// against earlier then show nothing. So the same test ranks all answers of late against those before the
-// build came. While these are slower, voters abstain and the timer waits; if that lasts for two poolings with
-// no other cause known, it is 'back', unless it already held in the first stage, whose traffic is too little
-// to slow a fleet. Also guards against going on in a jam. Harm: a burst or slow spell of that length in a
-// later stage takes a good build off.
-bool Balance::Parts::slowerThanBefore(const Side& lately, const Side& before) {
-    const double n = lately.all(), m = before.all();
-    if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
-    const bool calmBefore = before.bins[lastBin] < m * calmShare;
-    if (calmBefore && rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
-        return true;
-    const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]},
-        y{m - before.bins[lastBin], before.bins[lastBin]};
-    const double margin =
-        std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
-    return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
-}
+    // Sums over all path groups; the second side is mixed as the first one's hits are, since some stages are
+    // closed to some path groups, and the mix of hits changes.
+    static std::pair<Side, Side> mixed(const Sides& sides) {
+        double most = 0;
+        for (const auto& [one, other] : sides)
+            if (other->all() > 0) most = std::max(most, one->all() / other->all());
+        Side x, y;
+        for (const auto& [one, other] : sides) {
+            if (one->all() <= 0 || other->all() <= 0) continue;
+            x.add(*one, 1);
+            y.add(*other, one->all() / other->all() / most);
+        }
+        return {x, y};
+    }
 
-Verdict Balance::Parts::verdictNow() {
-    const bool released = told.build == trial.build && told.standing == Standing::released;
-    // Latency is compared only while both sides flow: ranks of one minute against another's show the load.
-    const auto beside = [&](const Side& newer, const Side& earlier) {
-        return !released && earlier.recent >= newer.recent * besidePart;
-    };
-    bool back = false;
-    Sides present, past;
-    for (std::size_t group = 0; group < groups.size(); ++group) {
-        const auto& [newer, earlier, before] = trial.sums[group];
-        present.emplace_back(&newer, &earlier);
-        past.emplace_back(&trial.lately[group], &before);
-        // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too few
-        // for any. The same test on that group's ranks, and on ranks coarsened to two (errored, flagged or in
-        // time against not), votes back if hardly a draw passes the bar.
-        back = back || worse(newer, earlier, beside(newer, earlier));
+    // Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build
+    // does, and so does a burst. Clients' retries do not count for one: a slow build draws them.
+    bool knownCause() const {
+        const auto up = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
+        if (demand > trial.demandBefore * demandRise) return true;
+        return static_cast<double>(up) < static_cast<double>(trial.podsBefore) * podsKept ||
+               std::any_of(pods.begin(), pods.end(),
+                           [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
     }
-    const auto [x, y] = mixed(present);
-    if (back || worse(x, y, beside(x, y))) return Verdict::back;
-    if (released) return Verdict::none;
-    const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes;
-    if (enough && beside(x, y) && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
-        return Verdict::back;
-    const auto [these, those] = mixed(past);
-    if (slowerThanBefore(these, those)) {
-        if (trial.slowSince < 0 || knownCause()) trial.slowSince = now;
-        if (now - trial.slowSince < slowSpell) return Verdict::none;
-        if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
-        trial.slowAnyway = true;
-    } else {
-        trial.slowSince = -1;
+
+    // Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new
+    // against earlier then show nothing. So the same test ranks all answers of late against those before the
+    // build came. While these are slower, voters abstain and the timer waits; if that lasts for two poolings
+    // with no other cause known, it is 'back', unless it already held in the first stage, whose traffic is
+    // too little to slow a fleet. Also guards against going on in a jam. Harm: a burst or slow spell of that
+    // length in a later stage takes a good build off.
+    bool slowerThanBefore(const Side& lately, const Side& before) {
+        const double n = lately.all(), m = before.all();
+        if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
+        const bool calmBefore = before.bins[lastBin] < m * calmShare;
+        if (calmBefore &&
+            rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
+            return true;
+        const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]},
+            y{m - before.bins[lastBin], before.bins[lastBin]};
+        const double margin =
+            std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
+        return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
     }
-    // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
-    // shows only with all traffic (a build slow under load, or slowing all) would be released unseen.
-    if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < settleFor)
-        return Verdict::none;
-    if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure)
-        return Verdict::on;
-    if (clocked) {
-        const bool young = told.build == trial.build && now - told.since < undecidedFor;
-        return young ? Verdict::hold : Verdict::none;
+
+    Verdict verdictNow() {
+        const bool released = told.build == trial.build && told.standing == Standing::released;
+        // Latency is compared only while both sides flow: ranks of one minute against another's show the
+        // load.
+        const auto beside = [&](const Side& newer, const Side& earlier) {
+            return !released && earlier.recent >= newer.recent * besidePart;
+        };
+        bool back = false;
+        Sides present, past;
+        for (std::size_t group = 0; group < groups.size(); ++group) {
+            const auto& [newer, earlier, before] = trial.sums[group];
+            present.emplace_back(&newer, &earlier);
+            past.emplace_back(&trial.lately[group], &before);
+            // Exception: a failing path group holds few ranks of the whole, and errors and wrong answers too
+            // few for any. The same test on that group's ranks, and on ranks coarsened to two (errored,
+            // flagged or in time against not), votes back if hardly a draw passes the bar.
+            back = back || worse(newer, earlier, beside(newer, earlier));
+        }
+        const auto [x, y] = mixed(present);
+        if (back || worse(x, y, beside(x, y))) return Verdict::back;
+        if (released) return Verdict::none;
+        const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes;
+        if (enough && beside(x, y) && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
+            return Verdict::back;
+        const auto [these, those] = mixed(past);
+        if (slowerThanBefore(these, those)) {
+            if (trial.slowSince < 0 || knownCause()) trial.slowSince = now;
+            if (now - trial.slowSince < slowSpell) return Verdict::none;
+            if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
+            trial.slowAnyway = true;
+        } else {
+            trial.slowSince = -1;
+        }
+        // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
+        // shows only with all traffic (a build slow under load, or slowing all) would be released unseen.
+        if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < settleFor)
+            return Verdict::none;
+        if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure)
+            return Verdict::on;
+        if (clocked) {
+            const bool young = told.build == trial.build && now - told.since < undecidedFor;
+            return young ? Verdict::hold : Verdict::none;
+        }
+        return trial.counted >= 0 && now - trial.counted >= undecidedFor ? Verdict::on : Verdict::none;
     }
-    return trial.counted >= 0 && now - trial.counted >= undecidedFor ? Verdict::on : Verdict::none;
-}
 
-void Balance::Parts::tellVerdict() {
-    if (!mayTell) return;
-    Message message;
-    message.kind = Message::Kind::verdict;
-    message.epoch = epoch;
-    message.seq = ++seq;
-    message.build = static_cast<std::uint32_t>(trial.build);
-    message.verdict = static_cast<std::uint32_t>(trial.verdict);
-    const auto bytes = encode(message);
-    for (int peer = 0; peer < balancers; ++peer)
-        if (peer != me) door.tell(peer, bytes);
-}
+    void tellVerdict() {
+        if (!mayTell) return;
+        Message message;
+        message.kind = Message::Kind::verdict;
+        message.epoch = epoch;
+        message.seq = ++seq;
+        message.build = static_cast<std::uint32_t>(trial.build);
+        message.verdict = static_cast<std::uint32_t>(trial.verdict);
+        const auto bytes = encode(message);
+        for (int peer = 0; peer < balancers; ++peer)
+            if (peer != me) door.tell(peer, bytes);
+    }
 
-// What most voters say; of a tie, the later one to be undecided.
-Verdict Balance::Parts::echo() const {
-    std::array<int, 4> count{};
-    for (int voter : trial.voters) ++count[static_cast<std::size_t>(trial.verdicts[voter].verdict)];
-    const auto needed = static_cast<int>(trial.voters.size()) / 2 + 1;
-    if (count[3] >= needed) return Verdict::back;
-    if (!clocked && count[1] >= needed) return Verdict::on;
-    if (clocked && count[2] >= needed) return Verdict::hold;
-    return Verdict::none;
-}
+    // What most voters say; of a tie, the later one to be undecided.
+    Verdict echo() const {
+        std::array<int, 4> count{};
+        for (int voter : trial.voters) ++count[static_cast<std::size_t>(trial.verdicts[voter].verdict)];
+        const auto needed = static_cast<int>(trial.voters.size()) / 2 + 1;
+        if (count[3] >= needed) return Verdict::back;
+        if (!clocked && count[1] >= needed) return Verdict::on;
+        if (clocked && count[2] >= needed) return Verdict::hold;
+        return Verdict::none;
+    }
 
-void Balance::Parts::castVote() {
-    if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
-    auto verdict = isVoter() ? trial.verdict : echo();
-    if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
-    if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn) verdict = Verdict::none;
-    const bool anyStage = verdict == Verdict::back || verdict == Verdict::none;
-    const bool same = cast.verdict == verdict && (verdict == Verdict::none || cast.build == told.build) &&
-                      (anyStage || cast.stage == told.stage);
-    if (same && (verdict == Verdict::none || now < cast.when + renewAfter)) return;
-    // A vote for what is over needs no taking back.
-    if (verdict == Verdict::none &&
-        (told.standing != Standing::trial || cast.build != told.build || cast.stage != told.stage)) {
-        cast.verdict = verdict;
-        return;
+    void castVote() {
+        if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
+        auto verdict = isVoter() ? trial.verdict : echo();
+        if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
+        if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn)
+            verdict = Verdict::none;
+        const bool anyStage = verdict == Verdict::back || verdict == Verdict::none;
+        const bool same = cast.verdict == verdict && (verdict == Verdict::none || cast.build == told.build) &&
+                          (anyStage || cast.stage == told.stage);
+        if (same && (verdict == Verdict::none || now < cast.when + renewAfter)) return;
+        // A vote for what is over needs no taking back.
+        if (verdict == Verdict::none &&
+            (told.standing != Standing::trial || cast.build != told.build || cast.stage != told.stage)) {
+            cast.verdict = verdict;
+            return;
+        }
+        if (now < cast.next) return;
+        cast = {verdict, told.build, told.stage, now, now + answerWait};
+        door.vote(verdict, told.build, told.stage);
     }
-    if (now < cast.next) return;
-    cast = {verdict, told.build, told.stage, now, now + answerWait};
-    door.vote(verdict, told.build, told.stage);
-}
 
-// Once a second: what a warm pod's worth of capacity has lately delivered to this sidecar.
-void Balance::Parts::measure() {
-    if (now < nextSecond) return;
-    nextSecond = now + second;
-    demand += (arrived - demand) / std::min(secondsSeen + 1, demandSeconds);
-    arrived = 0;
-    double capacity = 0;
-    for (auto* pod : pods)
-        if (pod->availability == Availability::up) capacity += warmth(*pod);
-    ++secondsSeen;
-    if (capacity > 0) doneRate += (done / capacity - doneRate) / std::min(secondsSeen, 10);
-    done = 0;
-}
+    // Once a second: what a warm pod's worth of capacity has lately delivered to this sidecar.
+    void measure() {
+        if (now < nextSecond) return;
+        nextSecond = now + second;
+        demand += (arrived - demand) / std::min(secondsSeen + 1, demandSeconds);
+        arrived = 0;
+        double capacity = 0;
+        for (auto* pod : pods)
+            if (pod->availability == Availability::up) capacity += warmth(*pod);
+        ++secondsSeen;
+        if (capacity > 0) doneRate += (done / capacity - doneRate) / std::min(secondsSeen, 10);
+        done = 0;
+    }
 
-void Balance::Parts::renewTick() {
-    if (nextTick > now) return;
-    nextTick = now + tickEvery;
-    paces[++ticks % paceTicks] = 0;
-    door.wake(tickEvery);
-}
+    void renewTick() {
+        if (nextTick > now) return;
+        nextTick = now + tickEvery;
+        paces[++ticks % paceTicks] = 0;
+        door.wake(tickEvery);
+    }
+};
 
 // ---- The calls. ----
 
