What is seen of pods is pooled at the voters and told to all (try)

Quiet sidecars never bench a failing or slow pod: too few own outcomes. Pooled outcomes by pod, told by the voters, cut such pods' part everywhere.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -50,6 +50,10 @@
 constexpr double quietPart =
     0.5;  // of the shortest target latency: a pod that owes answers this long is silent
 constexpr double coldPart = 0.7;  // of the multiple at which a cold pod falls over
+constexpr double slowest = 2;     // what a failure counts as, in target latencies; no answer counts more
+constexpr double viewWeighs = 4;  // own outcomes at a pod that weigh as much as the voters' word on it
+constexpr double slowPart = 1.3;  // of the mean slowness; pods up to it get their full part
+constexpr double noteParts = 64;  // in which slowness is told
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
 constexpr int lastBin = latencyBins - 1;
@@ -188,6 +192,7 @@
     std::vector<Build*> present;                             // builds on trial now
     std::vector<Pod*> pods;                                  // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
+    double usual = 1;                                        // slowness of late, over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
     int secondsSeen = 0, ticks = 0;
     std::array<double, paceTicks>
@@ -379,6 +384,17 @@
         return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
     }
 
+    // What a pod may be given of a sound, warm one's hits. Guards against pods that fail, stall or are slow
+    // where own outcomes are too few to tell: those of all sidecars are pooled at the voters, as the build's
+    // are, and own ones outweigh their word, since a pod may be bad for some sidecars alone. Harm: a pod that
+    // is well again gets less for two poolings.
+    double part(const Pod& pod) const {
+        const double word = now - pod.viewedAt < 2 * poolEvery ? pod.viewed : 1;
+        const double slow = (pod.lately.slowness / std::max(usual, 0.05) + word * viewWeighs) /
+                            (pod.lately.tries + viewWeighs);
+        return warmth(pod) * (slow > slowPart ? std::pow(slowPart / slow, 2) : 1);
+    }
+
     Next choose(Passage& passage) {
         auto& hit = passage.hit;
         const bool further = !hit.forwards.empty();
@@ -406,13 +422,13 @@
         // decides nothing.
         const auto draw = [&] {
             auto* pod = best[chance() % best.size()];
-            for (int turn = 0; turn < 3 && chance() % 1000 >= 1000 * warmth(*pod); ++turn)
+            for (int turn = 0; turn < 8 && chance() % 1000 >= 1000 * part(*pod); ++turn)
                 pod = best[chance() % best.size()];
             return pod;
         };
         passage.pod = draw();
         auto* other = draw();
-        if (other->out / warmth(*other) < passage.pod->out / warmth(*passage.pod)) passage.pod = other;
+        if (other->out / part(*other) < passage.pod->out / part(*passage.pod)) passage.pod = other;
         return Next::pass;
     }
 
@@ -462,6 +478,12 @@
         // moment.
         if (outcome == Outcome::saturated) pod.fullUntil = now + silentAfter;
         count(forward, outcome, passage.took);
+        const double slowness =
+            outcome == Outcome::delivered
+                ? static_cast<double>(passage.took) / static_cast<double>(passage.hit.group->target)
+                : slowest;
+        for (auto* use : {&pod.lately, &pod.unsent})
+            ++use->tries, use->slowness += std::min(slowness, slowest);
         pod.sampled = false;
         const bool well = outcome == Outcome::delivered;
         // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look
@@ -545,6 +567,8 @@
             if (line.started != pod.started) {  // another process: nothing known of it, and cold
                 pod.tries = {};
                 pod.failsInARow = pod.benchings = 0;
+                pod.lately = pod.unsent = pod.pooled = {};
+                pod.viewed = 1;
                 if (pod.build) pod.build->erred -= pod.erred;
                 pod.erred = 0;
                 pod.benchedUntil = 0;
@@ -660,6 +684,7 @@
                 for (const auto& bytes : messages) door.tell(voter, bytes);
             }
         }
+        poolPods();
         if (isVoter()) {
             judge();
             tellVerdict();
@@ -670,6 +695,59 @@
         }
     }
 
+    // What was seen of each pod goes the same way; voters tell all which are slower than the rest.
+    void poolPods() {
+        Message head;
+        head.epoch = epoch;
+        head.seq = ++seq;
+        head.build = static_cast<std::uint32_t>(trial.build);
+        head.kind = Message::Kind::pods;
+        std::vector<PodNote> seen, view;
+        Use own, all;
+        for (auto* pod : pods) {
+            own.tries += pod->lately.tries, own.slowness += pod->lately.slowness;
+            pod->lately.tries /= 2, pod->lately.slowness /= 2;
+            if (pod->unsent.tries > 0)
+                seen.push_back({pod->id, static_cast<std::uint32_t>(pod->unsent.tries),
+                                static_cast<std::uint32_t>(pod->unsent.slowness * noteParts)});
+            if (isVoter())
+                pod->pooled.tries += pod->unsent.tries, pod->pooled.slowness += pod->unsent.slowness;
+            pod->unsent = {};
+            all.tries += pod->pooled.tries, all.slowness += pod->pooled.slowness;
+        }
+        if (own.tries > 0) usual = own.slowness / own.tries;
+        if (!mayTell) return;
+        for (const auto& bytes : encodePods(head, seen))
+            for (int voter : trial.voters)
+                if (voter != me) door.tell(voter, bytes);
+        if (!isVoter() || all.tries <= 0) return;
+        head.kind = Message::Kind::view;
+        const double mean = all.slowness / all.tries;
+        for (auto* pod : pods) {
+            auto& [tries, slowness] = pod->pooled;
+            // Few outcomes say little: a pod counts as slow only beyond what chance would show.
+            const double against = slowness / std::max(mean, 0.05) / (tries + std::sqrt(tries) + 1);
+            if (against > 1) view.push_back({pod->id, 1, static_cast<std::uint32_t>(against * noteParts)});
+            pod->viewed = std::max(against, 1.0), pod->viewedAt = now;
+            tries /= 2, slowness /= 2;
+        }
+        for (const auto& bytes : encodePods(head, view))
+            for (int peer = 0; peer < balancers; ++peer)
+                if (peer != me) door.tell(peer, bytes);
+    }
+
+    void absorbPods(const Message& message) {
+        for (const auto& note : message.pods) {
+            const auto found = std::lower_bound(pods.begin(), pods.end(), note.id,
+                                                [](auto* pod, auto id) { return pod->id < id; });
+            if (found == pods.end() || (*found)->id != note.id) continue;
+            const double slowness = note.slowness / noteParts;
+            if (message.kind == Message::Kind::pods && isVoter())
+                (*found)->pooled.tries += note.tries, (*found)->pooled.slowness += slowness;
+            if (message.kind == Message::Kind::view) (*found)->viewed = slowness, (*found)->viewedAt = now;
+        }
+    }
+
     void absorb(int peer, const Message& message) {
         auto& sender = trial.senders[static_cast<std::size_t>(peer)];
         if (message.epoch != sender.epoch) {
@@ -933,6 +1011,8 @@
     const auto message = decode(bytes);
     if (!message || peer >= parts.balancers || peer == parts.me) return;
     if (static_cast<int>(message->build) != parts.trial.build) return;
+    if (message->kind == Message::Kind::pods || message->kind == Message::Kind::view)
+        return parts.absorbPods(*message);
     if (message->kind == Message::Kind::counts) {
         if (!parts.isVoter()) return;
         parts.absorb(peer, *message);
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -88,11 +88,22 @@
     return all;
 }
 
+std::vector<std::string> encodePods(const Message& message, const std::vector<PodNote>& pods) {
+    std::vector<std::string> all;
+    for (const auto& pod : pods) {
+        std::string one;
+        put(one, pod.id), put(one, pod.tries), put(one, pod.slowness);
+        if (all.empty() || all.back().size() + one.size() > maxMessage) all.push_back(head(message));
+        all.back() += one;
+    }
+    return all;
+}
+
 std::optional<Message> decode(const std::string& bytes) {
     if (bytes.size() < 2 || bytes.size() > maxMessage) return {};
     if (static_cast<unsigned char>(bytes[0]) != version) return {};
     Message message;
-    if (bytes[1] != 1 && bytes[1] != 2) return {};
+    if (bytes[1] < 1 || bytes[1] > 4) return {};
     message.kind = static_cast<Message::Kind>(bytes[1]);
     Reader reader{bytes, 2};
     message.epoch = reader.number();
@@ -102,6 +113,12 @@
     if (message.kind == Message::Kind::verdict) {
         message.verdict = last;
         if (last > 3 || reader.at != bytes.size()) return {};
+    } else if (message.kind != Message::Kind::counts) {
+        while (reader.good && reader.at < bytes.size()) {
+            PodNote note;
+            note.id = reader.number(), note.tries = reader.number(), note.slowness = reader.number();
+            message.pods.push_back(note);
+        }
     } else {
         message.firstGroup = last;
         while (reader.good && reader.at < bytes.size()) {
--- a/src/gossip.hpp
+++ b/src/gossip.hpp
@@ -23,8 +23,13 @@
 // Of the build on trial, of the earlier builds meanwhile, and of all builds before it was first seen.
 using Tallies = std::array<Tally, 3>;
 
+// What was seen of one pod: to the voters, outcomes and their slowness; from them, how it compares.
+struct PodNote {
+    std::uint32_t id = 0, tries = 0, slowness = 0;
+};
+
 struct Message {
-    enum class Kind : std::uint8_t { counts = 1, verdict = 2 };
+    enum class Kind : std::uint8_t { counts = 1, verdict = 2, pods = 3, view = 4 };
     Kind kind = Kind::counts;
     std::uint32_t epoch = 0;  // drawn at each start of the sender
     std::uint32_t seq = 0;    // rises by one with each sending
@@ -32,6 +37,7 @@
     std::uint32_t verdict = 0;
     std::uint32_t firstGroup = 0;
     std::vector<Tallies> groups;
+    std::vector<PodNote> pods;
 };
 
 std::string encode(const Message& message);
@@ -39,6 +45,9 @@
 // As many messages as the path groups need, each within the limit.
 std::vector<std::string> encodeCounts(Message head, const std::vector<Tallies>& groups);
 
+// The same for what was seen of pods.
+std::vector<std::string> encodePods(const Message& head, const std::vector<PodNote>& pods);
+
 // Nothing if the bytes are malformed, cut short or of an unknown version.
 std::optional<Message> decode(const std::string& bytes);
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -58,6 +58,11 @@
     std::vector<double> allowance;  // forwards that the exposure rule allows now, by path group if counted so
 };
 
+// Outcomes at one pod and the sum of their slowness.
+struct Use {
+    double tries = 0, slowness = 0;
+};
+
 struct Pod {
     std::uint32_t id = 0;
     int zone = -1, cell = -1;
@@ -71,6 +76,9 @@
     std::array<int, 2> tries{};                             // recent own forwards: well ended, failed
     int failsInARow = 0, benchings = 0, erred = 0;
     Nanos benchedUntil = 0, fullUntil = 0;
+    Use lately, unsent, pooled;  // own; not yet sent to voters; as a voter
+    double viewed = 1;           // the voters' word: slowness against other pods
+    Nanos viewedAt = std::numeric_limits<Nanos>::min() / 4;
     bool sampled = false;  // a forward is out that decides whether the pod comes back
 };
 
