--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -482,8 +482,9 @@
             outcome == Outcome::delivered
                 ? static_cast<double>(passage.took) / static_cast<double>(passage.hit.group->target)
                 : slowest;
-        for (auto* use : {&pod.lately, &pod.unsent})
-            ++use->tries, use->slowness += std::min(slowness, slowest);
+        if (!cold(pod))  // a cold one is slow by right
+            for (auto* use : {&pod.lately, &pod.unsent})
+                ++use->tries, use->slowness += std::min(slowness, slowest);
         pod.sampled = false;
         const bool well = outcome == Outcome::delivered;
         // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look
@@ -727,7 +728,8 @@
             auto& [tries, slowness] = pod->pooled;
             // Few outcomes say little: a pod counts as slow only beyond what chance would show.
             const double against = slowness / std::max(mean, 0.05) / (tries + std::sqrt(tries) + 1);
-            if (against > 1) view.push_back({pod->id, 1, static_cast<std::uint32_t>(against * noteParts)});
+            if (against > slowPart)
+                view.push_back({pod->id, 1, static_cast<std::uint32_t>(against * noteParts)});
             pod->viewed = std::max(against, 1.0), pod->viewedAt = now;
             tries /= 2, slowness /= 2;
         }
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -3,7 +3,7 @@
 namespace lichenlanding {
 namespace {
 
-constexpr unsigned char version = 3;
+constexpr unsigned char version = 4;
 
 void put(std::string& to, std::uint32_t value) {
     while (value >= 0x80) {
@@ -13,11 +13,20 @@
     to.push_back(static_cast<char>(value));
 }
 
+// Most counts of a quiet sidecar are 0: a bit for each tells which follow.
+template <typename Tally, typename Each>
+void visit(Tally& tally, const Each& each) {
+    for (auto& count : tally.bins) each(count);
+    each(tally.errored), each(tally.flagged), each(tally.keptOut);
+}
+
 void put(std::string& to, const Tally& tally) {
-    for (auto count : tally.bins) put(to, count);
-    put(to, tally.errored);
-    put(to, tally.flagged);
-    put(to, tally.keptOut);
+    std::uint32_t present = 0, bit = 1;
+    visit(tally, [&](auto count) { present |= count ? bit : 0, bit <<= 1; });
+    put(to, present);
+    visit(tally, [&](auto count) {
+        if (count) put(to, count);
+    });
 }
 
 struct Reader {
@@ -42,10 +51,9 @@
 
     Tally tally() {
         Tally read;
-        for (auto& count : read.bins) count = number();
-        read.errored = number();
-        read.flagged = number();
-        read.keptOut = number();
+        std::uint32_t present = number();
+        visit(read, [&](auto& count) { count = (present & 1) ? number() : 0, present >>= 1; });
+        if (present) good = false;
         return read;
     }
 };
