--- a/src/adapter/instance.cpp
+++ b/src/adapter/instance.cpp
@@ -47,7 +47,10 @@
         line.integer("bad", 0, 1LL << 40);
     } else if (name == "ECHO") {
         readOutcome(line, "rc");
-        line.integer("pod", 0, 0xffffffffLL);
+        auto& probed = pod(static_cast<std::uint32_t>(line.integer("pod", 0, 0xffffffffLL)));
+        line.time("costTimeMs");
+        if (const auto holds = line.report("feedback", "inflight"); holds >= 0)
+            balance_.report(probed, holds);
     } else {
         throw Unreadable("cannot read " + std::string(name) + ": field message name");
     }
@@ -94,8 +97,9 @@
     const auto outcome = readOutcome(line, "rc");
     const auto took = line.time("costTimeMs");
     auto* forward = findForward(hit, line.integer("shot", 0, 1 << 20));
-    line.integer("pod", 0, 0xffffffffLL);
+    auto& sent = pod(static_cast<std::uint32_t>(line.integer("pod", 0, 0xffffffffLL)));
     const bool closed = line.truth("closed");
+    if (const auto holds = line.report("feedback", "inflight"); holds >= 0) balance_.report(sent, holds);
     if (!forward || !forward->out) return;
     balance_.outcome(*forward, outcome, took, closed);
     letGo(hit);
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -149,6 +149,18 @@
     return bytes;
 }
 
+double Line::report(const char* field, std::string_view value) {
+    const auto text = word(field);
+    if (text == "-" || text.empty()) return -1;
+    for (auto pair : split(text, ',')) {
+        const auto colon = pair.find(':');
+        double read = 0;
+        if (colon == pair.npos || !parse(pair.substr(colon + 1), read) || !std::isfinite(read)) fail(field);
+        if (pair.substr(0, colon) == value) return read;
+    }
+    return -1;
+}
+
 std::vector<std::string_view> Line::rest() {
     std::vector<std::string_view> rest(parts_.begin() + static_cast<std::ptrdiff_t>(next_), parts_.end());
     next_ = parts_.size();
@@ -202,6 +214,7 @@
     told.mayTell = pairs.truth("limits.mayTell", false);
     told.mayCancel = pairs.truth("limits.cancelling", false);
     told.mayProbe = pairs.truth("limits.probes", false);
+    told.probesTell = told.mayProbe && pairs.text("report.how", "off") == "on_probe";
     told.mayDuplicate = pairs.truth("limits.mayDuplicate", false);
     told.adviseRetry = pairs.truth("limits.retryAfter", false);
     told.maxRetryAfter = told.adviseRetry ? pairs.time("limits.maxRetryAfterMs") : 0;
--- a/src/adapter/wire.hpp
+++ b/src/adapter/wire.hpp
@@ -33,7 +33,8 @@
     Nanos time(const char* field);  // milliseconds on the wire
     std::uint64_t seed(const char* field);
     bool truth(const char* field);
-    std::string bytes(const char* field);  // hex digits
+    double report(const char* field, std::string_view value);  // of a load report; below 0 if not in it
+    std::string bytes(const char* field);                      // hex digits
     std::vector<std::string_view> rest();
     [[noreturn]] void fail(const char* field) const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,11 +49,14 @@
 constexpr int furtherForwards = 2;
 constexpr double quietPart =
     0.5;  // of the shortest target latency: a pod that owes answers this long is silent
-constexpr double coldPart = 0.7;  // of the multiple at which a cold pod falls over
-constexpr double slowest = 2;     // what a failure counts as, in target latencies; no answer counts more
-constexpr double viewWeighs = 4;  // own outcomes at a pod that weigh as much as the voters' word on it
-constexpr double slowPart = 1.3;  // of the mean slowness; pods up to it get their full part
-constexpr double noteParts = 64;  // in which slowness is told
+constexpr double coldPart = 0.7;      // of the multiple at which a cold pod falls over
+constexpr double slowest = 2;         // what a failure counts as, in target latencies; no answer counts more
+constexpr double viewWeighs = 4;      // own outcomes at a pod that weigh as much as the voters' word on it
+constexpr double slowPart = 1.3;      // of the mean slowness; pods up to it get their full part
+constexpr double noteParts = 64;      // in which slowness is told
+constexpr Nanos reportLife = second;  // of a pod's own word on what it holds
+constexpr int probesPerHit = 2;
+constexpr std::size_t scoutedAtMost = 4;
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
 constexpr int lastBin = latencyBins - 1;
@@ -179,7 +182,7 @@
     Door& door;
     std::mt19937 chance;
     int me, balancers, forwardsAtMost, closedStages, lastStage;
-    bool mayTell, askForList, perGroup, oneWay, clocked;
+    bool mayTell, probesTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
     Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice, window;
     Nanos born = -1;
@@ -190,9 +193,10 @@
     std::uint32_t epoch, seq = 0;
     std::unordered_map<int, std::unique_ptr<Build>> builds;  // looked up, never walked through
     std::vector<Build*> present;                             // builds on trial now
-    std::vector<Pod*> pods;                                  // as listed, without those gone
-    std::unordered_map<std::string, int> answeredBy;         // one-way keys: the build that answered
-    double usual = 1;                                        // slowness of late, over all pods
+    std::vector<Pod*> scouted;  // whose reports came lately, where probes alone bring them
+    std::vector<Pod*> pods;     // as listed, without those gone
+    std::unordered_map<std::string, int> answeredBy;  // one-way keys: the build that answered
+    double usual = 1;                                 // slowness of late, over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
     int secondsSeen = 0, ticks = 0;
     std::array<double, paceTicks>
@@ -216,6 +220,7 @@
         closedStages = told.closedStages;
         lastStage = static_cast<int>(told.caps.size()) - 1;
         mayTell = told.mayTell;
+        probesTell = told.probesTell;
         askForList = told.askForList;
         perGroup = told.perGroup;
         oneWay = told.oneWay;
@@ -395,6 +400,13 @@
         return warmth(pod) * (slow > slowPart ? std::pow(slowPart / slow, 2) : 1);
     }
 
+    // By own load; a tie, as most of a quiet sidecar's are, goes by the pods' reports while they are fresh.
+    bool lighter(const Pod& one, const Pod& other) const {
+        const double a = one.out / part(one), b = other.out / part(other);
+        if (a != b || now - std::min(one.heldAt, other.heldAt) > reportLife) return a < b;
+        return (one.holds + 1) / part(one) < (other.holds + 1) / part(other);
+    }
+
     Next choose(Passage& passage) {
         auto& hit = passage.hit;
         const bool further = !hit.forwards.empty();
@@ -426,9 +438,17 @@
                 pod = best[chance() % best.size()];
             return pod;
         };
+        // Where reports come to probes alone, the two are drawn from the pods probed for the hits before.
+        std::erase_if(scouted, [&](auto* pod) { return now - pod->heldAt > reportLife; });
+        std::vector<Pod*> known;
+        for (auto* pod : scouted)
+            if (std::find(best.begin(), best.end(), pod) != best.end()) known.push_back(pod);
+        if (known.size() > 1) best = known;
         passage.pod = draw();
-        auto* other = draw();
-        if (other->out / part(*other) < passage.pod->out / part(*passage.pod)) passage.pod = other;
+        if (auto* other = draw(); lighter(*other, *passage.pod)) passage.pod = other;
+        std::erase(scouted, passage.pod);
+        if (probesTell)
+            for (int probe = 0; probe < probesPerHit; ++probe) door.probe(*pods[chance() % pods.size()]);
         return Next::pass;
     }
 
@@ -998,6 +1018,14 @@
     parts_->run(passage, {&Parts::settle, &Parts::learn, &Parts::answer});
 }
 
+void Balance::report(Pod& pod, double holds) {
+    pod.holds = holds, pod.heldAt = parts_->now;
+    auto& scouted = parts_->scouted;
+    if (!parts_->probesTell || std::find(scouted.begin(), scouted.end(), &pod) != scouted.end()) return;
+    if (scouted.size() >= scoutedAtMost) scouted.erase(scouted.begin());
+    scouted.push_back(&pod);
+}
+
 void Balance::hangup(Hit& hit) { hit.ended = true; }
 
 void Balance::flagged(Pod& pod, Nanos age, const PathGroup& group) {
--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -47,6 +47,7 @@
     void head(Forward& forward);  // a streamed answer has begun
     void outcome(Forward& forward, Outcome outcome, Nanos took, bool closed);
     void hangup(Hit& hit);
+    void report(Pod& pod, double holds);  // the hits that the pod says it holds
     void flagged(Pod& pod, Nanos age, const PathGroup& group);
     void heard(int peer, const std::string& bytes);
     void news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap, Nanos age);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -38,6 +38,7 @@
     std::vector<std::string> zones;
     std::vector<PathGroup> groups;
     bool mayTell = false, mayCancel = false, mayProbe = false, mayDuplicate = false, askForList = false;
+    bool probesTell = false;  // pods report what they hold to probes alone
     bool adviseRetry = false;
     int maxForwards = 1;
     Nanos maxRetryAfter = 0;
@@ -79,6 +80,8 @@
     Use lately, unsent, pooled;  // own; not yet sent to voters; as a voter
     double viewed = 1;           // the voters' word: slowness against other pods
     Nanos viewedAt = std::numeric_limits<Nanos>::min() / 4;
+    double holds = 0;  // hits, by its own last report
+    Nanos heldAt = std::numeric_limits<Nanos>::min() / 4;
     bool sampled = false;  // a forward is out that decides whether the pod comes back
 };
 
