The floors of open hits add up to two hits a pod over all sidecars

Each of hundreds of sidecars had a floor of half the pods: the limit bound nobody and an overloaded fleet jammed.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,7 +55,7 @@
 constexpr double slowPart = 1.3;      // of the mean slowness; pods up to it get their full part
 constexpr double noteParts = 64;      // in which slowness is told
 constexpr Nanos reportLife = second;  // of a pod's own word on what it holds
-constexpr int probesPerHit = 1;
+constexpr int probesPerHit = 2;
 constexpr std::size_t scoutedAtMost = 4;
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
@@ -368,8 +368,8 @@
         for (auto* pod : pods)
             if (pod->availability == Availability::up && wanted(passage.hit, *pod))
                 open += pod->out, ++usable;
-        const double floor =
-            ticks < paceTicks ? 2 * usable : usable / 2;  // no pace is known yet, or it has fallen
+        // No pace is known yet, or it has fallen; the sidecars' floors add up to some two hits a pod.
+        const double floor = ticks < paceTicks ? 2 * usable : std::min(usable / 2, 2 * usable / balancers);
         if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
         limited = now;
         // To rank now against the time before a build, a hit kept out is as good as late: else the limit
