--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -359,6 +359,9 @@
         return sum / static_cast<double>((paceTicks - 1) * tickEvery + tickEvery / 2);
     }
 
+    // A quiet sidecar's pace is a figure of chance: it binds only once hits come late.
+    bool inTime() const { return recent[1] * 8 <= recent[0]; }
+
     // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no
     // more hits are open than the pace of answers in time can clear within a part of the target latency. Hits
     // that hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for
@@ -369,7 +372,9 @@
             if (pod->availability == Availability::up && wanted(passage.hit, *pod))
                 open += pod->out, ++usable;
         // No pace is known yet, or it has fallen; the sidecars' floors add up to some two hits a pod.
-        const double floor = ticks < paceTicks ? 2 * usable : std::min(usable / 2, 2 * usable / balancers);
+        const double floor = ticks < paceTicks ? 2 * usable
+                             : inTime()        ? usable / 2
+                                               : std::min(usable / 2, 2 * usable / balancers);
         if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
         limited = now;
         // To rank now against the time before a build, a hit kept out is as good as late: else the limit
