Known causes of slowness seen at size: lost pods, pods that stand out, demand beyond chance

The trial's own pods hid the lost ones in the count of pods up, and a quiet voter's demand swung by chance and held its vote for good. Now pods that left the list without a drain count as lost, pods that the pooled view shows slower than the rest count with them (a build that slows all makes none stand out), and demand must pass its own chance.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -39,7 +39,7 @@
 constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
 constexpr double demandRise = 1.4;          // first tries against the time before: a burst
 constexpr int demandSeconds = 3;            // over which they are counted
-constexpr double podsKept = 0.9;            // of those up before: with fewer, the fleet has lost pods
+constexpr double podsAmiss = 0.1;           // lost, or slower than the rest: the fleet is not what it was
 constexpr double slowBar = 0.4, slowMargin = 0.05,
                  calmShare = 0.2;  // of all pods, against the time before the build
 
@@ -159,7 +159,6 @@
         std::vector<Heard> verdicts;            // by peer
         Verdict verdict = Verdict::none;        // as voter
         Nanos slowSince = -1;                   // all pods slower than before the build came
-        std::ptrdiff_t podsBefore = 0;          // up when the build was first seen
         double demandBefore = 0;
         bool slowAnyway = false;  // and that is not the build's doing
         Nanos judged = std::numeric_limits<Nanos>::min() / 4;
@@ -198,7 +197,7 @@
     std::unordered_map<std::string, int> answeredBy;  // one-way keys: the build that answered
     double usual = 1;                                 // slowness of late, over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
-    int secondsSeen = 0, ticks = 0;
+    int secondsSeen = 0, ticks = 0, lostPods = 0;
     std::array<double, paceTicks>
         paces{};  // by tick: deliveries in time, each as its part of the target latency
     Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
@@ -601,6 +600,10 @@
                 pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
                 pod.coldMark = now;
             }
+            const bool lost =
+                line.availability == Availability::gone && (pod.lost || pod.availability == Availability::up);
+            lostPods += lost - pod.lost;
+            pod.lost = lost;
             pod.build = buildOf(line.build);
             pod.zone = line.zone;
             pod.cell = line.cell;
@@ -630,7 +633,6 @@
         trial = Trial{};
         trial.build = build;
         trial.demandBefore = demand;
-        trial.podsBefore = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
         const auto n = static_cast<std::size_t>(balancers);
         trial.own = calm;
         calm.assign(groups.size(), {});
@@ -858,9 +860,13 @@
     // Pods that are cold, that fail, or that are gone (a lost data centre) slow the rest whatever the build
     // does, and so does a burst. Clients' retries do not count for one: a slow build draws them.
     bool knownCause() const {
-        const auto up = std::count_if(pods.begin(), pods.end(), [](auto* pod) { return drainKept(*pod); });
-        if (demand > trial.demandBefore * demandRise) return true;
-        return static_cast<double>(up) < static_cast<double>(trial.podsBefore) * podsKept ||
+        // A quiet sidecar's demand swings by chance.
+        const double usualHits = trial.demandBefore * demandSeconds;
+        if (demand * demandSeconds > usualHits * demandRise + 2 * std::sqrt(usualHits)) return true;
+        const auto amiss = lostPods + std::count_if(pods.begin(), pods.end(), [&](auto* pod) {
+                               return pod->viewed > slowPart && now - pod->viewedAt < 2 * poolEvery;
+                           });
+        return static_cast<double>(amiss) > static_cast<double>(pods.size()) * podsAmiss ||
                std::any_of(pods.begin(), pods.end(),
                            [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -82,6 +82,7 @@
     Nanos viewedAt = std::numeric_limits<Nanos>::min() / 4;
     double holds = 0;  // hits, by its own last report
     Nanos heldAt = std::numeric_limits<Nanos>::min() / 4;
+    bool lost = false;     // left the list without a drain
     bool sampled = false;  // a forward is out that decides whether the pod comes back
 };
 
