The first outcome of a new build is told at once and starts the voters' timer

Stages lasted up to three seconds longer at size than on the twin: a quiet voter met the new build late, and its timer began with the next pooling of counts that were old enough.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -379,7 +379,7 @@
         // To rank now against the time before a build, a hit kept out is as good as late: else the limit
         // would hide that a build slows all pods.
         const auto group = static_cast<std::size_t>(passage.hit.group->index);
-        if (trial.build >= 0) ++trial.own[group][1].keptOut;
+        if (trial.build >= 0) ++trial.own[group][1].unranked;
         ++calm[group].back().bins[lastBin];
         giveUp(passage.hit);
         return Next::end;
@@ -678,10 +678,15 @@
         const auto age = forward.sent - forward.pod->started;
         if (age < skipFirst || (outcome == Outcome::errored && lonely(*forward.pod, *forward.build))) return;
         const bool isNew = forward.build->number == trial.build;
-        if (isNew && trial.counted < 0) trial.counted = now;
-        if (age < countAfter) return;
         const auto group = static_cast<std::size_t>(forward.hit->group->index);
         auto& tally = trial.own[group][isNew ? 0 : 1];
+        if (age < countAfter) {
+            // A quiet voter may meet the new build late: the first that does tells, and starts its timer.
+            if (!isNew || tally.unranked++ > 0 || trial.counted >= 0) return;
+            trial.counted = now;
+            return poolCounts();
+        }
+        if (isNew && trial.counted < 0) trial.counted = now;
         int bin = lastBin;
         if (outcome == Outcome::delivered) {
             const auto& edges = groups[group].edges;
@@ -697,8 +702,7 @@
     // Every two seconds the counts go to the voters. Each message carries the sums since the build was seen,
     // of which a voter adds what is new to it: a lost, repeated or late message then changes nothing in the
     // end.
-    void pool() {
-        if (trial.build < 0 || told.standing == Standing::withdrawn) return;
+    void poolCounts() {
         Message head;
         head.epoch = epoch;
         head.seq = ++seq;
@@ -712,7 +716,13 @@
                 for (const auto& bytes : messages) door.tell(voter, bytes);
             }
         }
+    }
+
+    void pool() {
+        if (trial.build < 0) return;
         poolPods();
+        if (told.standing == Standing::withdrawn) return;
+        poolCounts();
         if (isVoter()) {
             judge();
             tellVerdict();
@@ -804,9 +814,9 @@
                 side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
                 side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
                 side.recent += grew;
-                trial.lately[group].bins[lastBin] +=
-                    came.keptOut > had.keptOut ? came.keptOut - had.keptOut : 0;
-                if (grew > 0 && which == 0 && trial.counted < 0) trial.counted = now;
+                if (which == 1 && came.unranked > had.unranked)
+                    trial.lately[group].bins[lastBin] += came.unranked - had.unranked;
+                if (grew + came.unranked > 0 && which == 0 && trial.counted < 0) trial.counted = now;
                 if (side.all() > halveAt) {
                     for (auto& bin : side.bins) bin /= 2;
                     side.errored /= 2, side.flagged /= 2;
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -17,7 +17,7 @@
 template <typename Tally, typename Each>
 void visit(Tally& tally, const Each& each) {
     for (auto& count : tally.bins) each(count);
-    each(tally.errored), each(tally.flagged), each(tally.keptOut);
+    each(tally.errored), each(tally.flagged), each(tally.unranked);
 }
 
 void put(std::string& to, const Tally& tally) {
--- a/src/gossip.hpp
+++ b/src/gossip.hpp
@@ -17,7 +17,8 @@
     std::array<std::uint32_t, latencyBins>
         bins{};                              // the last one holds errors, time-outs and flagged answers
     std::uint32_t errored = 0, flagged = 0;  // of those in the last bin, outright errors and flagged ones
-    std::uint32_t keptOut = 0;               // hits bounced for want of room, in no bin
+    std::uint32_t unranked = 0;  // in no bin: of the new build, outcomes of pods still warming; of
+    // the earlier ones, hits bounced for want of room
 };
 
 // Of the build on trial, of the earlier builds meanwhile, and of all builds before it was first seen.
