--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -56,6 +56,7 @@
 constexpr double noteParts = 64;      // in which slowness is told
 constexpr Nanos reportLife = second;  // of a pod's own word on what it holds
 constexpr int probesPerHit = 2;
+constexpr double blindPart = 8;  // own open hits at less than one in so many pods tell nothing
 constexpr std::size_t scoutedAtMost = 4;
 constexpr Nanos benchFor = second;
 constexpr int benchDoublings = 3;
@@ -361,6 +362,12 @@
     // A quiet sidecar's pace is a figure of chance: it binds only once hits come late.
     bool inTime() const { return recent[1] * 8 <= recent[0]; }
 
+    int openNow() const {
+        int open = 0;
+        for (auto* pod : pods) open += pod->out;
+        return open;
+    }
+
     // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no
     // more hits are open than the pace of answers in time can clear within a part of the target latency. Hits
     // that hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for
@@ -442,16 +449,18 @@
                 pod = best[chance() % best.size()];
             return pod;
         };
-        // Where reports come to probes alone, the two are drawn from the pods probed for the hits before.
+        // Where reports come to probes alone and own load is none at most pods, the two are drawn from the
+        // pods probed for the hits before.
         std::erase_if(scouted, [&](auto* pod) { return now - pod->heldAt > reportLife; });
         std::vector<Pod*> known;
         for (auto* pod : scouted)
             if (std::find(best.begin(), best.end(), pod) != best.end()) known.push_back(pod);
-        if (known.size() > 1) best = known;
+        const bool blind = probesTell && openNow() * blindPart < static_cast<double>(pods.size());
+        if (blind && known.size() > 1) best = known;
         passage.pod = draw();
         if (auto* other = draw(); lighter(*other, *passage.pod)) passage.pod = other;
         std::erase(scouted, passage.pod);
-        if (probesTell)
+        if (blind)
             for (int probe = 0; probe < probesPerHit; ++probe) door.probe(*pods[chance() % pods.size()]);
         return Next::pass;
     }
