Fold: benching becomes part of what a pod is worth

A pod is left out below 0.15 of a sound one's part, by own outcomes and the voters' word; no separate counts, benches and trials.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -58,8 +58,7 @@
 constexpr int probesPerHit = 2;
 constexpr double blindPart = 8;  // own open hits at less than one in so many pods tell nothing
 constexpr std::size_t scoutedAtMost = 4;
-constexpr Nanos benchFor = second;
-constexpr int benchDoublings = 3;
+constexpr double leastPart = 0.15;  // a pod worth less of a sound one's part is left out
 constexpr int lastBin = latencyBins - 1;
 
 using Bins = std::vector<double>;
@@ -375,8 +374,7 @@
     Next admit(Passage& passage) {
         double open = 0, usable = 0;
         for (auto* pod : pods)
-            if (pod->availability == Availability::up && wanted(passage.hit, *pod))
-                open += pod->out, ++usable;
+            if (pod->availability == Availability::up && wanted(*pod)) open += pod->out, ++usable;
         // No pace is known yet, or it has fallen; the sidecars' floors add up to some two hits a pod.
         const double floor = ticks < paceTicks ? 2 * usable
                              : inTime()        ? usable / 2
@@ -392,24 +390,25 @@
         return Next::end;
     }
 
-    // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out, too, until
-    // it speaks. A pod that lately failed is left out until its bench is over, then gets one repeatable hit
-    // to show itself.
-    bool wanted(const Hit& hit, const Pod& pod) const {
-        if (now < pod.benchedUntil || (pod.out > 0 && now - pod.heard > silentAfter)) return false;
-        return !probation(pod) || (!pod.sampled && hit.group->effect == Effect::repeatable);
+    // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out until it
+    // speaks, one that turned a hit away rests for a moment, and one that fails or is very slow is left out
+    // until that is forgotten.
+    bool wanted(const Pod& pod) const {
+        return now >= pod.fullUntil && (pod.out == 0 || now - pod.heard <= silentAfter) &&
+               fit(pod) >= leastPart;
     }
 
     // What a pod may be given of a sound, warm one's hits. Guards against pods that fail, stall or are slow
     // where own outcomes are too few to tell: those of all sidecars are pooled at the voters, as the build's
     // are, and own ones outweigh their word, since a pod may be bad for some sidecars alone. Harm: a pod that
     // is well again gets less for two poolings.
-    double part(const Pod& pod) const {
+    double fit(const Pod& pod) const {
         const double word = now - pod.viewedAt < 2 * poolEvery ? pod.viewed : 1;
         const double slow = (pod.lately.slowness / std::max(usual, 0.05) + word * viewWeighs) /
                             (pod.lately.tries + viewWeighs);
-        return warmth(pod) * (slow > slowPart ? std::pow(slowPart / slow, 2) : 1);
+        return slow > slowPart ? std::pow(slowPart / slow, 2) : 1;
     }
+    double part(const Pod& pod) const { return warmth(pod) * fit(pod); }
 
     // By own load; a tie, as most of a quiet sidecar's are, goes by the pods' reports while they are fresh.
     bool lighter(const Pod& one, const Pod& other) const {
@@ -425,7 +424,7 @@
         std::vector<Pod*> best;
         int bestRank = 8;
         for (auto* pod : pods) {
-            int rank = wanted(hit, *pod) && now >= pod->fullUntil ? 0 : 1;
+            int rank = wanted(*pod) ? 0 : 1;
             if (further && pod == hit.forwards.back().pod) rank += 2;
             if (further && onTrial(*pod->build)) rank += 4;
             if (rank > bestRank || !lawful(hit, *pod)) continue;
@@ -474,7 +473,6 @@
         }
         if (cold(pod)) pod.coldSpent -= weight(hit);
         if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
-        if (probation(pod)) pod.sampled = true;
         if (pod.out++ == 0) pod.heard = now;
         hit.forwards.push_back({&hit, &pod, pod.build, pod.zone, pod.cell, now, true, true, false});
         door.forward(hit.forwards.back(), hit.deadline - now);
@@ -518,27 +516,15 @@
         if (!cold(pod))  // a cold one is slow by right
             for (auto* use : {&pod.lately, &pod.unsent})
                 ++use->tries, use->slowness += std::min(slowness, slowest);
-        pod.sampled = false;
         const bool well = outcome == Outcome::delivered;
-        // Old and new alike: were the new build's failing pods kept in use, a few pods' trouble would look
-        // like its own.
-        const bool blame = !well && outcome != Outcome::saturated;
         if (well) {
             done += weight(passage.hit);
             const auto target = passage.hit.group->target;
             if (passage.took <= target) paces[ticks % paceTicks] += static_cast<double>(target) * openPart;
-            pod.failsInARow = 0;
-            if (pod.tries[0] > 8) pod.benchings = 0;
-        }
-        if (blame) ++pod.failsInARow;
-        if (well || blame) {
-            if (++pod.tries[well ? 0 : 1] + pod.tries[well ? 1 : 0] >= 16)
-                for (auto& tries : pod.tries) tries /= 2;
-            if (blame && pod.tries[1] >= 3 && pod.tries[1] * 3 >= pod.tries[0]) bench(pod);
         }
         const bool late = outcome == Outcome::saturated || outcome == Outcome::overdue ||
                           (well && passage.took > passage.hit.group->target);
-        if (now >= pod.benchedUntil && (well || late))
+        if (fit(pod) >= leastPart && (well || late))
             if (++recent[late ? 1 : 0] + recent[late ? 0 : 1] >= 64)
                 for (auto& some : recent) some /= 2;
         if (well && oneWay && !passage.hit.key.empty() && onTrial(*forward.build))
@@ -564,18 +550,6 @@
 
     // ---- Pods: the list, and which are left out for a while. ----
 
-    bool probation(const Pod& pod) const { return pod.benchings > 0 && pod.failsInARow > 0; }
-
-    // Never more than half of the pods: if most fail, the cause lies elsewhere and sending on is better.
-    void bench(Pod& pod) {
-        const auto benched =
-            std::count_if(pods.begin(), pods.end(), [&](auto* some) { return now < some->benchedUntil; });
-        if (benched * 2 >= static_cast<std::ptrdiff_t>(pods.size())) return;
-        pod.benchedUntil = now + (benchFor << std::min(pod.benchings, benchDoublings));
-        ++pod.benchings;
-        pod.tries = {0, 2};
-    }
-
     Build* buildOf(int number) {
         auto& build = builds[number];
         if (!build) {
@@ -599,13 +573,10 @@
         for (const auto& line : lines) {
             auto& pod = *line.pod;
             if (line.started != pod.started) {  // another process: nothing known of it, and cold
-                pod.tries = {};
-                pod.failsInARow = pod.benchings = 0;
                 pod.lately = pod.unsent = pod.pooled = {};
                 pod.viewed = 1;
                 if (pod.build) pod.build->erred -= pod.erred;
                 pod.erred = 0;
-                pod.benchedUntil = 0;
                 pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
                 pod.coldMark = now;
             }
@@ -882,12 +853,10 @@
         // A quiet sidecar's demand swings by chance.
         const double usualHits = trial.demandBefore * demandSeconds;
         if (demand * demandSeconds > usualHits * demandRise + 2 * std::sqrt(usualHits)) return true;
-        const auto amiss = lostPods + std::count_if(pods.begin(), pods.end(), [&](auto* pod) {
-                               return pod->viewed > slowPart && now - pod->viewedAt < 2 * poolEvery;
-                           });
+        const auto amiss =
+            lostPods + std::count_if(pods.begin(), pods.end(), [&](auto* pod) { return fit(*pod) < 1; });
         return static_cast<double>(amiss) > static_cast<double>(pods.size()) * podsAmiss ||
-               std::any_of(pods.begin(), pods.end(),
-                           [&](auto* pod) { return cold(*pod) || now < pod->benchedUntil; });
+               std::any_of(pods.begin(), pods.end(), [&](auto* pod) { return cold(*pod); });
     }
 
     // Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -74,16 +74,14 @@
     Nanos heard = 0;                                        // when it last ended one, or came to owe one
     double coldSpent = 0;                                   // the cold pod's allowance of own work
     Nanos coldMark = 0;                                     // and when it was last filled
-    std::array<int, 2> tries{};                             // recent own forwards: well ended, failed
-    int failsInARow = 0, benchings = 0, erred = 0;
-    Nanos benchedUntil = 0, fullUntil = 0;
+    int erred = 0;
+    Nanos fullUntil = 0;
     Use lately, unsent, pooled;  // own; not yet sent to voters; as a voter
     double viewed = 1;           // the voters' word: slowness against other pods
     Nanos viewedAt = std::numeric_limits<Nanos>::min() / 4;
     double holds = 0;  // hits, by its own last report
     Nanos heldAt = std::numeric_limits<Nanos>::min() / 4;
-    bool lost = false;     // left the list without a drain
-    bool sampled = false;  // a forward is out that decides whether the pod comes back
+    bool lost = false;  // left the list without a drain
 };
 
 struct Hit;
