--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -402,9 +402,9 @@
     // where own outcomes are too few to tell: those of all sidecars are pooled at the voters, as the build's
     // are, and own ones outweigh their word, since a pod may be bad for some sidecars alone. Harm: a pod that
     // is well again gets less for two poolings.
+    double word(const Pod& pod) const { return now - pod.viewedAt < 2 * poolEvery ? pod.viewed : 1; }
     double fit(const Pod& pod) const {
-        const double word = now - pod.viewedAt < 2 * poolEvery ? pod.viewed : 1;
-        const double slow = (pod.lately.slowness / std::max(usual, 0.05) + word * viewWeighs) /
+        const double slow = (pod.lately.slowness / std::max(usual, 0.05) + word(pod) * viewWeighs) /
                             (pod.lately.tries + viewWeighs);
         return slow > slowPart ? std::pow(slowPart / slow, 2) : 1;
     }
@@ -853,8 +853,8 @@
         // A quiet sidecar's demand swings by chance.
         const double usualHits = trial.demandBefore * demandSeconds;
         if (demand * demandSeconds > usualHits * demandRise + 2 * std::sqrt(usualHits)) return true;
-        const auto amiss =
-            lostPods + std::count_if(pods.begin(), pods.end(), [&](auto* pod) { return fit(*pod) < 1; });
+        const auto amiss = lostPods + std::count_if(pods.begin(), pods.end(),
+                                                    [&](auto* pod) { return word(*pod) > slowPart; });
         return static_cast<double>(amiss) > static_cast<double>(pods.size()) * podsAmiss ||
                std::any_of(pods.begin(), pods.end(), [&](auto* pod) { return cold(*pod); });
     }
