--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -82,6 +82,9 @@
     return sum;
 }
 
+// Ranks coarsened to two: well and not.
+Bins inTwo(double bad, double all) { return {std::max(all - bad, 0.0), bad}; }
+
 }  // namespace
 
 RankBounds rankTest(const std::vector<double>& x, const std::vector<double>& y, double bar, int times,
@@ -144,7 +147,6 @@
     struct Heard {
         Verdict verdict = Verdict::none;
         std::uint32_t epoch = 0, seq = 0;
-        Nanos when = std::numeric_limits<Nanos>::min() / 4;
     };
 
     // The newest build and what is known of it.
@@ -186,6 +188,7 @@
     Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice, window;
     Nanos born = -1;
     std::vector<Group> groups;
+    std::vector<int> everyone;
 
     // state
     Nanos now = 0, nextPool = 0, nextTick = -1;
@@ -215,6 +218,7 @@
         epoch = static_cast<std::uint32_t>(chance()) | 1u;
         me = told.index;
         balancers = std::max(told.balancers, 1);
+        for (int peer = 0; peer < balancers; ++peer) everyone.push_back(peer);
         forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
         closedStages = told.closedStages;
         lastStage = static_cast<int>(told.caps.size()) - 1;
@@ -683,19 +687,26 @@
     // of which a voter adds what is new to it: a lost, repeated or late message then changes nothing in the
     // end.
     void poolCounts() {
-        Message head;
-        head.epoch = epoch;
-        head.seq = ++seq;
-        head.build = static_cast<std::uint32_t>(trial.build);
-        const auto messages = encodeCounts(head, trial.own);
-        for (int voter : trial.voters) {
-            if (voter == me) {
-                head.groups = trial.own;
-                absorb(me, head);
-            } else if (mayTell) {
-                for (const auto& bytes : messages) door.tell(voter, bytes);
-            }
-        }
+        auto message = head(Message::Kind::counts);
+        tell(encodeCounts(message, trial.own), trial.voters);
+        if (!isVoter()) return;
+        message.groups = trial.own;
+        absorb(me, message);
+    }
+
+    Message head(Message::Kind kind) {
+        Message message;
+        message.kind = kind;
+        message.epoch = epoch;
+        message.seq = ++seq;
+        message.build = static_cast<std::uint32_t>(trial.build);
+        return message;
+    }
+
+    void tell(const std::vector<std::string>& messages, const std::vector<int>& to) {
+        for (int peer : to)
+            for (const auto& bytes : messages)
+                if (mayTell && peer != me) door.tell(peer, bytes);
     }
 
     void pool() {
@@ -715,11 +726,6 @@
 
     // What was seen of each pod goes the same way; voters tell all which are slower than the rest.
     void poolPods() {
-        Message head;
-        head.epoch = epoch;
-        head.seq = ++seq;
-        head.build = static_cast<std::uint32_t>(trial.build);
-        head.kind = Message::Kind::pods;
         std::vector<PodNote> seen, view;
         Use own, all;
         for (auto* pod : pods) {
@@ -734,12 +740,8 @@
             all.tries += pod->pooled.tries, all.slowness += pod->pooled.slowness;
         }
         if (own.tries > 0) usual = own.slowness / own.tries;
-        if (!mayTell) return;
-        for (const auto& bytes : encodePods(head, seen))
-            for (int voter : trial.voters)
-                if (voter != me) door.tell(voter, bytes);
+        tell(encodePods(head(Message::Kind::pods), seen), trial.voters);
         if (!isVoter() || all.tries <= 0) return;
-        head.kind = Message::Kind::view;
         const double mean = all.slowness / all.tries;
         for (auto* pod : pods) {
             auto& [tries, slowness] = pod->pooled;
@@ -750,9 +752,7 @@
             pod->viewed = std::max(against, 1.0), pod->viewedAt = now;
             tries /= 2, slowness /= 2;
         }
-        for (const auto& bytes : encodePods(head, view))
-            for (int peer = 0; peer < balancers; ++peer)
-                if (peer != me) door.tell(peer, bytes);
+        tell(encodePods(head(Message::Kind::view), view), everyone);
     }
 
     void absorbPods(const Message& message) {
@@ -822,12 +822,13 @@
         const auto fails = [&](const Bins& x, const Bins& y, double bar) {
             return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
         };
-        const auto two = [](double bad, double all) { return Bins{std::max(all - bad, 0.0), bad}; };
-        if (fails(two(newer.errored, n), two(earlier.errored, m), 0.5 - errorMargin / 2)) return true;
-        if (fails(two(newer.flagged, n), two(earlier.flagged, m), 0.5 - flagMargin / 2)) return true;
-        return beside &&
-               (fails(newer.bins, earlier.bins, backBar) ||
-                fails(two(newer.bins[lastBin], n), two(earlier.bins[lastBin], m), 0.5 - lateMargin / 2));
+        const auto more = [&](double x, double y, double margin) {
+            return fails(inTwo(x, n), inTwo(y, m), 0.5 - margin / 2);
+        };
+        return more(newer.errored, earlier.errored, errorMargin) ||
+               more(newer.flagged, earlier.flagged, flagMargin) ||
+               (beside && (fails(newer.bins, earlier.bins, backBar) ||
+                           more(newer.bins[lastBin], earlier.bins[lastBin], lateMargin)));
     }
 
     using Sides = std::vector<std::pair<const Side*, const Side*>>;
@@ -872,8 +873,7 @@
         if (calmBefore &&
             rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
             return true;
-        const Bins x{n - lately.bins[lastBin], lately.bins[lastBin]},
-            y{m - before.bins[lastBin], before.bins[lastBin]};
+        const auto x = inTwo(lately.bins[lastBin], n), y = inTwo(before.bins[lastBin], m);
         const double margin =
             std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
         return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
@@ -926,16 +926,9 @@
     }
 
     void tellVerdict() {
-        if (!mayTell) return;
-        Message message;
-        message.kind = Message::Kind::verdict;
-        message.epoch = epoch;
-        message.seq = ++seq;
-        message.build = static_cast<std::uint32_t>(trial.build);
+        auto message = head(Message::Kind::verdict);
         message.verdict = static_cast<std::uint32_t>(trial.verdict);
-        const auto bytes = encode(message);
-        for (int peer = 0; peer < balancers; ++peer)
-            if (peer != me) door.tell(peer, bytes);
+        tell({encode(message)}, everyone);
     }
 
     // What most voters say; of a tie, the later one to be undecided.
@@ -1050,7 +1043,7 @@
     }
     auto& heard = parts.trial.verdicts[static_cast<std::size_t>(peer)];
     if (heard.epoch == message->epoch && message->seq <= heard.seq) return;
-    heard = {static_cast<Verdict>(message->verdict), message->epoch, message->seq, parts.now};
+    heard = {static_cast<Verdict>(message->verdict), message->epoch, message->seq};
     parts.castVote();
 }
 
