--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -40,8 +40,7 @@
 constexpr double demandRise = 1.4;          // first tries against the time before: a burst
 constexpr int demandSeconds = 3;            // over which they are counted
 constexpr double podsAmiss = 0.1;           // lost, or slower than the rest: the fleet is not what it was
-constexpr double slowBar = 0.4, slowMargin = 0.05,
-                 calmShare = 0.2;  // of all pods, against the time before the build
+constexpr double slowBar = 0.4, calmShare = 0.2;  // of all pods, against the time before the build
 
 constexpr double openPart =
     0.4;                      // of the target latency: what open hits may come to at the pace of deliveries
@@ -579,8 +578,6 @@
             if (line.started != pod.started) {  // another process: nothing known of it, and cold
                 pod.lately = pod.unsent = pod.pooled = {};
                 pod.viewed = 1;
-                if (pod.build) pod.build->erred -= pod.erred;
-                pod.erred = 0;
                 pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
                 pod.coldMark = now;
             }
@@ -642,25 +639,12 @@
         return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
     }
 
-    // Exception: errors that come from one or two pods among several are those pods' trouble, not their
-    // build's, and do not count. A build that errs does so on all its pods; with a single pod there is
-    // nothing to compare, and its errors count. Guards against failing machines that by chance run the new
-    // build. Harm: a build whose fault shows on two pods only is found later, when more have it.
-    bool lonely(Pod& pod, Build& build) {
-        if (pod.build != &build) return true;  // another build runs there by now
-        ++pod.erred, ++build.erred;
-        const auto alike =
-            std::count_if(pods.begin(), pods.end(), [&](auto* some) { return some->build == &build; });
-        return alike > 1 &&
-               pod.erred > 1 + (build.erred - pod.erred) / std::min<std::ptrdiff_t>(2, alike - 1);
-    }
-
     // Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
     void count(const Forward& forward, Outcome outcome, Nanos took) {
         if (&forward != &forward.hit->forwards.front() || forward.build->number > trial.build) return;
         if (outcome == Outcome::saturated || outcome == Outcome::unreached) return;
         const auto age = forward.sent - forward.pod->started;
-        if (age < skipFirst || (outcome == Outcome::errored && lonely(*forward.pod, *forward.build))) return;
+        if (age < skipFirst) return;
         const bool isNew = forward.build->number == trial.build;
         const auto group = static_cast<std::size_t>(forward.hit->group->index);
         auto& tally = trial.own[group][isNew ? 0 : 1];
@@ -869,14 +853,8 @@
     bool slowerThanBefore(const Side& lately, const Side& before) {
         const double n = lately.all(), m = before.all();
         if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
-        const bool calmBefore = before.bins[lastBin] < m * calmShare;
-        if (calmBefore &&
-            rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain)
-            return true;
-        const auto x = inTwo(lately.bins[lastBin], n), y = inTwo(before.bins[lastBin], m);
-        const double margin =
-            std::max(slowMargin, 2 * y[1] / m);  // a busy fleet's late share swings with its load
-        return rankTest(x, y, 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
+        if (before.bins[lastBin] > m * calmShare) return false;  // a busy fleet's ranks swing with its load
+        return rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain;
     }
 
     Verdict verdictNow() {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -55,7 +55,6 @@
 
 struct Build {
     int number = 0;
-    int erred = 0;                  // errors of its pods that run
     std::vector<double> allowance;  // forwards that the exposure rule allows now, by path group if counted so
 };
 
@@ -74,7 +73,6 @@
     Nanos heard = 0;                                        // when it last ended one, or came to owe one
     double coldSpent = 0;                                   // the cold pod's allowance of own work
     Nanos coldMark = 0;                                     // and when it was last filled
-    int erred = 0;
     Nanos fullUntil = 0;
     Use lately, unsent, pooled;  // own; not yet sent to voters; as a voter
     double viewed = 1;           // the voters' word: slowness against other pods
