--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <random>
 #include <unordered_map>
 
@@ -75,12 +76,6 @@
     return drawn;
 }
 
-double total(const Bins& counts) {
-    double sum = 0;
-    for (auto count : counts) sum += count;
-    return sum;
-}
-
 // Ranks coarsened to two: well and not.
 Bins inTwo(double bad, double all) { return {std::max(all - bad, 0.0), bad}; }
 
@@ -118,11 +113,6 @@
         bool closed = false;
     };
 
-    // A path group's figures, made from the settings once.
-    struct Group {
-        std::array<Nanos, lastBin> edges{};  // of the latency bins, in steps of a square root of two
-    };
-
     // What a voter last took from a sender, so that lost, repeated and late messages do no harm.
     struct Sender {
         std::uint32_t epoch = 0, before = 0;
@@ -135,7 +125,7 @@
         double errored = 0, flagged = 0;
         double recent = 0;  // outcomes of late, halved at each pooling
 
-        double all() const { return total(bins); }
+        double all() const { return std::accumulate(bins.begin(), bins.end(), 0.0); }
         void add(const Side& other, double part) {
             for (int bin = 0; bin < latencyBins; ++bin) bins[bin] += other.bins[bin] * part;
             errored += other.errored * part, flagged += other.flagged * part;
@@ -186,7 +176,7 @@
     double free, firstCap, coldFrom, coldExcess;
     Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice, window;
     Nanos born = -1;
-    std::vector<Group> groups;
+    std::vector<std::array<Nanos, lastBin>> edges;  // of the latency bins, by path group
     std::vector<int> everyone;
 
     // state
@@ -245,11 +235,9 @@
         for (const auto& group : told.groups) {
             silentAfter =
                 std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
-            Group made;
-            double edge = static_cast<double>(group.target);
-            for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0))
-                made.edges[bin] = static_cast<Nanos>(edge);
-            groups.push_back(made);
+            double edge = static_cast<double>(group.target);  // then in steps of a square root of two
+            auto& made = edges.emplace_back();
+            for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made[bin] = static_cast<Nanos>(edge);
         }
     }
 
@@ -561,7 +549,7 @@
             // A quiet sidecar may use the free number at once; one that starts may have used it before it
             // stopped.
             const bool fresh = born >= 0 && now - born >= window;
-            build->allowance.assign(perGroup ? groups.size() : 1, fresh ? free : 0.0);
+            build->allowance.assign(perGroup ? edges.size() : 1, fresh ? free : 0.0);
         }
         return build.get();
     }
@@ -616,12 +604,11 @@
         trial.demandBefore = demand;
         const auto n = static_cast<std::size_t>(balancers);
         trial.own = calm;
-        calm.assign(groups.size(), {});
-        trial.lately.resize(groups.size());
+        calm.assign(edges.size(), {});
+        trial.lately.resize(edges.size());
         trial.senders.resize(n);
-        for (auto& sender : trial.senders)
-            sender.seq.resize(groups.size()), sender.last.resize(groups.size());
-        trial.sums.resize(groups.size());
+        for (auto& sender : trial.senders) sender.seq.resize(edges.size()), sender.last.resize(edges.size());
+        trial.sums.resize(edges.size());
         trial.verdicts.resize(n);
         // Three voters, hashed from the build number: the same at every sidecar.
         std::vector<std::pair<std::uint64_t, int>> order;
@@ -657,8 +644,8 @@
         if (isNew && trial.counted < 0) trial.counted = now;
         int bin = lastBin;
         if (outcome == Outcome::delivered) {
-            const auto& edges = groups[group].edges;
-            bin = static_cast<int>(std::upper_bound(edges.begin(), edges.end(), took) - edges.begin());
+            bin = static_cast<int>(std::upper_bound(edges[group].begin(), edges[group].end(), took) -
+                                   edges[group].begin());
         }
         ++tally.bins[static_cast<std::size_t>(bin)];
         if (outcome == Outcome::errored) ++tally.errored;
@@ -701,7 +688,7 @@
         if (isVoter()) {
             judge();
             tellVerdict();
-            for (std::size_t group = 0; group < groups.size(); ++group) {
+            for (std::size_t group = 0; group < edges.size(); ++group) {
                 for (auto& bin : trial.lately[group].bins) bin /= 2;
                 for (auto& side : trial.sums[group]) side.recent /= 2;
             }
@@ -713,28 +700,27 @@
         std::vector<PodNote> seen, view;
         Use own, all;
         for (auto* pod : pods) {
-            own.tries += pod->lately.tries, own.slowness += pod->lately.slowness;
-            pod->lately.tries /= 2, pod->lately.slowness /= 2;
+            own += pod->lately;
+            pod->lately.halve();
             if (pod->unsent.tries > 0)
                 seen.push_back({pod->id, static_cast<std::uint32_t>(pod->unsent.tries),
                                 static_cast<std::uint32_t>(pod->unsent.slowness * noteParts)});
-            if (isVoter())
-                pod->pooled.tries += pod->unsent.tries, pod->pooled.slowness += pod->unsent.slowness;
+            if (isVoter()) pod->pooled += pod->unsent;
             pod->unsent = {};
-            all.tries += pod->pooled.tries, all.slowness += pod->pooled.slowness;
+            all += pod->pooled;
         }
         if (own.tries > 0) usual = own.slowness / own.tries;
         tell(encodePods(head(Message::Kind::pods), seen), trial.voters);
         if (!isVoter() || all.tries <= 0) return;
         const double mean = all.slowness / all.tries;
         for (auto* pod : pods) {
-            auto& [tries, slowness] = pod->pooled;
+            const auto [tries, slowness] = pod->pooled;
             // Few outcomes say little: a pod counts as slow only beyond what chance would show.
             const double against = slowness / std::max(mean, 0.05) / (tries + std::sqrt(tries) + 1);
             if (against > slowPart)
                 view.push_back({pod->id, 1, static_cast<std::uint32_t>(against * noteParts)});
             pod->viewed = std::max(against, 1.0), pod->viewedAt = now;
-            tries /= 2, slowness /= 2;
+            pod->pooled.halve();
         }
         tell(encodePods(head(Message::Kind::view), view), everyone);
     }
@@ -762,25 +748,24 @@
         }
         for (std::size_t at = 0; at < message.groups.size(); ++at) {
             const auto group = message.firstGroup + at;
-            if (group >= groups.size() || message.seq <= sender.seq[group]) continue;
+            if (group >= edges.size() || message.seq <= sender.seq[group]) continue;
             sender.seq[group] = message.seq;
             for (std::size_t which = 0; which < message.groups[at].size(); ++which) {
                 const auto& came = message.groups[at][which];
                 const auto& had = sender.last[group][which];
                 auto& side = trial.sums[group][which];
-                double grew = 0;
+                const auto more = [](std::uint32_t now, std::uint32_t then) {
+                    return now > then ? now - then : 0.0;
+                };
                 for (int bin = 0; bin < latencyBins; ++bin) {
-                    const double more = came.bins[bin] > had.bins[bin] ? came.bins[bin] - had.bins[bin] : 0;
-                    side.bins[bin] += more;
-                    if (which < 2) trial.lately[group].bins[bin] += more;
-                    grew += more;
+                    const double grew = more(came.bins[bin], had.bins[bin]);
+                    side.bins[bin] += grew, side.recent += grew;
+                    if (which < 2) trial.lately[group].bins[bin] += grew;
                 }
-                side.errored += came.errored > had.errored ? came.errored - had.errored : 0;
-                side.flagged += came.flagged > had.flagged ? came.flagged - had.flagged : 0;
-                side.recent += grew;
-                if (which == 1 && came.unranked > had.unranked)
-                    trial.lately[group].bins[lastBin] += came.unranked - had.unranked;
-                if (grew + came.unranked > 0 && which == 0 && trial.counted < 0) trial.counted = now;
+                side.errored += more(came.errored, had.errored);
+                side.flagged += more(came.flagged, had.flagged);
+                if (which == 1) trial.lately[group].bins[lastBin] += more(came.unranked, had.unranked);
+                if (which == 0 && side.all() + came.unranked > 0 && trial.counted < 0) trial.counted = now;
                 if (side.all() > halveAt) {
                     for (auto& bin : side.bins) bin /= 2;
                     side.errored /= 2, side.flagged /= 2;
@@ -866,7 +851,7 @@
         };
         bool back = false;
         Sides present, past;
-        for (std::size_t group = 0; group < groups.size(); ++group) {
+        for (std::size_t group = 0; group < edges.size(); ++group) {
             const auto& [newer, earlier, before] = trial.sums[group];
             present.emplace_back(&newer, &earlier);
             past.emplace_back(&trial.lately[group], &before);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -61,6 +61,9 @@
 // Outcomes at one pod and the sum of their slowness.
 struct Use {
     double tries = 0, slowness = 0;
+
+    void operator+=(const Use& more) { tries += more.tries, slowness += more.slowness; }
+    void halve() { tries /= 2, slowness /= 2; }
 };
 
 struct Pod {
