--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -45,7 +45,7 @@
 
 constexpr double openPart =
     0.4;                      // of the target latency: what open hits may come to at the pace of deliveries
-constexpr int paceTicks = 8;  // over which that pace is measured
+constexpr int paceTicks = 5;  // over which that pace fades
 constexpr int furtherForwards = 2;
 constexpr double quietPart =
     0.5;  // of the shortest target latency: a pod that owes answers this long is silent
@@ -190,9 +190,7 @@
     double usual = 1;                                 // slowness of late, over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
     int secondsSeen = 0, ticks = 0, lostPods = 0;
-    std::array<double, paceTicks>
-        paces{};  // by tick: deliveries in time, each as its part of the target latency
-    Nanos limited = std::numeric_limits<Nanos>::min() / 4;  // when a hit was last kept out
+    double pace = 0;  // deliveries in time, each as its part of the target latency, fading
     Nanos nextSecond = 0;
     std::array<int, 2> recent{};     // own outcomes lately: in time, late or turned away
     double arrived = 0, demand = 0;  // first tries: this second, and a second of late
@@ -343,11 +341,7 @@
     }
 
     // What the pace of answers in time clears within a part of the target latency.
-    double paceRoom() const {
-        double sum = 0;
-        for (auto pace : paces) sum += pace;
-        return sum / static_cast<double>((paceTicks - 1) * tickEvery + tickEvery / 2);
-    }
+    double paceRoom() const { return pace / static_cast<double>(paceTicks * tickEvery); }
 
     // A quiet sidecar's pace is a figure of chance: it binds only once hits come late.
     bool inTime() const { return recent[1] * 8 <= recent[0]; }
@@ -371,13 +365,12 @@
                              : inTime()        ? usable / 2
                                                : std::min(usable / 2, 2 * usable / balancers);
         if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
-        limited = now;
         // To rank now against the time before a build, a hit kept out is as good as late: else the limit
         // would hide that a build slows all pods.
         const auto group = static_cast<std::size_t>(passage.hit.group->index);
         if (trial.build >= 0) ++trial.own[group][1].unranked;
         ++calm[group].back().bins[lastBin];
-        giveUp(passage.hit);
+        giveUp(passage.hit, true);
         return Next::end;
     }
 
@@ -471,10 +464,9 @@
     }
 
     // One final answer, at once: a bounce where it may be promised, else an error.
-    void giveUp(Hit& hit) {
+    void giveUp(Hit& hit, bool full = false) {
         hit.ended = true;
-        if (now < hit.deadline && mayBounce(hit))
-            door.bounce(hit, overloaded() || limited == now ? advice : 0);
+        if (now < hit.deadline && mayBounce(hit)) door.bounce(hit, full || overloaded() ? advice : 0);
         else door.error(hit);
     }
 
@@ -511,7 +503,7 @@
         if (well) {
             done += weight(passage.hit);
             const auto target = passage.hit.group->target;
-            if (passage.took <= target) paces[ticks % paceTicks] += static_cast<double>(target) * openPart;
+            if (passage.took <= target) pace += static_cast<double>(target) * openPart;
         }
         const bool late = outcome == Outcome::saturated || outcome == Outcome::overdue ||
                           (well && passage.took > passage.hit.group->target);
@@ -643,10 +635,9 @@
         }
         if (isNew && trial.counted < 0) trial.counted = now;
         int bin = lastBin;
-        if (outcome == Outcome::delivered) {
+        if (outcome == Outcome::delivered)
             bin = static_cast<int>(std::upper_bound(edges[group].begin(), edges[group].end(), took) -
                                    edges[group].begin());
-        }
         ++tally.bins[static_cast<std::size_t>(bin)];
         if (outcome == Outcome::errored) ++tally.errored;
         auto& past = calm[group].back().bins;
@@ -666,12 +657,7 @@
     }
 
     Message head(Message::Kind kind) {
-        Message message;
-        message.kind = kind;
-        message.epoch = epoch;
-        message.seq = ++seq;
-        message.build = static_cast<std::uint32_t>(trial.build);
-        return message;
+        return {kind, epoch, ++seq, static_cast<std::uint32_t>(trial.build), 0, 0, {}, {}};
     }
 
     void tell(const std::vector<std::string>& messages, const std::vector<int>& to) {
@@ -943,7 +929,8 @@
     void renewTick() {
         if (nextTick > now) return;
         nextTick = now + tickEvery;
-        paces[++ticks % paceTicks] = 0;
+        ++ticks;
+        pace *= 1 - 1.0 / paceTicks;
         door.wake(tickEvery);
     }
 };
