--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,8 +34,7 @@
 constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
 constexpr double besidePart = 0.5;  // of the new build's recent outcomes, that the earlier ones still have
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
-// Exceptions' bars: shares by which the new build may fail, err or be flagged more often than the earlier
-// one.
+// Exceptions' bars: shares by which the new build may be late, err or be flagged more often than the earlier.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
 constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
 constexpr double demandRise = 1.4;          // first tries against the time before: a burst
@@ -43,19 +42,16 @@
 constexpr double podsAmiss = 0.1;           // lost, or slower than the rest: the fleet is not what it was
 constexpr double slowBar = 0.4, calmShare = 0.2;  // of all pods, against the time before the build
 
-constexpr double openPart =
-    0.4;                      // of the target latency: what open hits may come to at the pace of deliveries
-constexpr int paceTicks = 5;  // over which that pace fades
+constexpr double openPart = 0.4;  // of the target latency: what open hits come to at the pace of deliveries
+constexpr int paceTicks = 5;      // over which that pace fades
 constexpr int furtherForwards = 2;
-constexpr double quietPart =
-    0.5;  // of the shortest target latency: a pod that owes answers this long is silent
-constexpr double coldPart = 0.7;      // of the multiple at which a cold pod falls over
-constexpr double slowest = 2;         // what a failure counts as, in target latencies; no answer counts more
-constexpr double viewWeighs = 4;      // own outcomes at a pod that weigh as much as the voters' word on it
-constexpr int usualOver = 64;         // own outcomes that make the usual slowness
-constexpr double slowPart = 1.3;      // of the mean slowness; pods up to it get their full part
-constexpr double leastSlow = 0.05;    // of the target latency: what is quicker is quick enough
-constexpr double noteParts = 64;      // in which slowness is told
+constexpr double quietPart = 0.5;   // of the shortest target latency: a pod that owes answers so long is mute
+constexpr double coldPart = 0.7;    // of the multiple at which a cold pod falls over
+constexpr double slowest = 2;       // what a failure counts as, in target latencies; no answer counts more
+constexpr double viewWeighs = 4;    // own outcomes at a pod that weigh as much as the voters' word on it
+constexpr double slowPart = 1.3;    // of the mean slowness; pods up to it get their full part
+constexpr double leastSlow = 0.05;  // of the target latency: what is quicker is quick enough
+constexpr double noteParts = 64;    // in which slowness is told
 constexpr Nanos reportLife = second;  // of a pod's own word on what it holds
 constexpr int probesPerHit = 2;
 constexpr double blindPart = 8;  // own open hits at less than one in so many pods tell nothing
@@ -190,8 +186,7 @@
     std::vector<Pod*> scouted;  // whose reports came lately, where probes alone bring them
     std::vector<Pod*> pods;     // as listed, without those gone
     std::unordered_map<std::string, int> answeredBy;  // one-way keys: the build that answered
-    double usual = 0;                                 // slowness of late, over all pods
-    int met = 0;
+    Use met;                                          // own outcomes of late over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
     int secondsSeen = 0, ticks = 0, lostPods = 0;
     double pace = 0;  // deliveries in time, each as its part of the target latency, fading
@@ -392,8 +387,9 @@
     // is well again gets less for two poolings.
     double word(const Pod& pod) const { return now - pod.viewedAt < 2 * poolEvery ? pod.viewed : 1; }
     double fit(const Pod& pod) const {
-        const double slow = (pod.lately.slowness / std::max(usual, leastSlow) + word(pod) * viewWeighs) /
-                            (pod.lately.tries + viewWeighs);
+        const double usual = std::max(met.tries > 0 ? met.slowness / met.tries : 1, leastSlow);
+        const double slow =
+            (pod.lately.slowness / usual + word(pod) * viewWeighs) / (pod.lately.tries + viewWeighs);
         return slow > slowPart ? std::pow(slowPart / slow, 2) : 1;
     }
     double part(const Pod& pod) const { return warmth(pod) * fit(pod); }
@@ -500,7 +496,7 @@
         const double ratio =
             static_cast<double>(passage.took) / static_cast<double>(passage.hit.group->target);
         const Use use{1, well ? std::min(ratio, slowest) : slowest};
-        usual += (use.slowness - usual) / std::min(++met, usualOver);
+        met += use;
         if (!cold(pod)) pod.lately += use, pod.unsent += use;  // a cold one is slow by right
         if (well) {
             done += weight(passage.hit);
@@ -687,6 +683,7 @@
     void poolPods() {
         std::vector<PodNote> seen, view;
         Use all;
+        met.halve();
         for (auto* pod : pods) {
             pod->lately.halve();
             if (pod->unsent.tries > 0)
