--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -14,6 +14,7 @@
 #include <numeric>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 #include "gossip.hpp"
 
@@ -208,11 +209,8 @@
         forwardsAtMost = std::min(told.maxForwards, 1 + furtherForwards);
         closedStages = told.closedStages;
         lastStage = static_cast<int>(told.caps.size()) - 1;
-        mayTell = told.mayTell;
-        probesTell = told.probesTell;
-        askForList = told.askForList;
-        perGroup = told.perGroup;
-        oneWay = told.oneWay;
+        mayTell = told.mayTell, probesTell = told.probesTell, askForList = told.askForList;
+        perGroup = told.perGroup, oneWay = told.oneWay;
         clocked = told.control == Control::clocked;
         free = told.freeForwards;
         window = told.exposureWindow;
@@ -369,8 +367,7 @@
         const auto group = static_cast<std::size_t>(passage.hit.group->index);
         if (trial.build >= 0) ++trial.own[group][1].unranked;
         ++calm[group].back().bins[lastBin];
-        giveUp(passage.hit, true);
-        return Next::end;
+        return giveUp(passage.hit, true);
     }
 
     // A pod that owes answers and has given none for a while (stalled, cut off, lost) is left out until it
@@ -420,10 +417,7 @@
         if (bestRank >= 4)
             for (auto* pod : pods)
                 if (pod->availability == Availability::up && !onTrial(*pod->build)) best.clear();
-        if (best.empty()) {
-            giveUp(hit);
-            return Next::end;
-        }
+        if (best.empty()) return giveUp(hit);
         // Two choices, each drawn by what the pod can do; a quiet sidecar's own load is mostly none and
         // decides nothing.
         const auto draw = [&] {
@@ -451,10 +445,7 @@
     Next send(Passage& passage) {
         auto& hit = passage.hit;
         auto& pod = *passage.pod;
-        if (!lawful(hit, pod)) {
-            giveUp(hit);
-            return Next::end;
-        }
+        if (!lawful(hit, pod)) return giveUp(hit);
         if (cold(pod)) pod.coldSpent -= weight(hit);
         if (onTrial(*pod.build)) allowance(*pod.build, *hit.group) -= 1;
         if (pod.out++ == 0) pod.heard = now;
@@ -464,10 +455,11 @@
     }
 
     // One final answer, at once: a bounce where it may be promised, else an error.
-    void giveUp(Hit& hit, bool full = false) {
+    Next giveUp(Hit& hit, bool full = false) {
         hit.ended = true;
         if (now < hit.deadline && mayBounce(hit)) door.bounce(hit, full || overloaded() ? advice : 0);
         else door.error(hit);
+        return Next::end;
     }
 
     // ---- The chain back: settle, learn, answer. ----
@@ -518,10 +510,7 @@
         if (hit.ended) return Next::end;
         const bool more =
             static_cast<int>(hit.forwards.size()) < forwardsAtMost && !overloaded() && now < hit.deadline;
-        if (!more) {
-            giveUp(hit);
-            return Next::end;
-        }
+        if (!more) return giveUp(hit);
         run({hit}, {&Parts::choose, &Parts::send});
         return Next::keep;
     }
@@ -564,10 +553,8 @@
             lostPods += lost - pod.lost;
             pod.lost = lost;
             pod.build = buildOf(line.build);
-            pod.zone = line.zone;
-            pod.cell = line.cell;
-            pod.started = line.started;
-            pod.availability = line.availability;
+            pod.zone = line.zone, pod.cell = line.cell;
+            pod.started = line.started, pod.availability = line.availability;
             highest = std::max(highest, line.build);
             const auto held = std::find(pods.begin(), pods.end(), &pod);
             if (line.availability == Availability::gone) {
@@ -764,9 +751,8 @@
     void judge() {
         trial.judged = now;
         if (trial.verdict == Verdict::back) return;  // stands for this build
-        const auto before = trial.verdict;
-        trial.verdict = verdictNow();
-        if (trial.verdict != before) tellVerdict();
+        if (const auto before = std::exchange(trial.verdict, verdictNow()); trial.verdict != before)
+            tellVerdict();
         castVote();
     }
 
@@ -1015,11 +1001,8 @@
         auto& allowed = parts.buildOf(build)->allowance;
         std::fill(allowed.begin(), allowed.end(), 0.0);
     }
-    if (build != parts.told.build || stage != parts.told.stage) parts.told.since = parts.now - age;
-    parts.told.build = build;
-    parts.told.stage = stage;
-    parts.told.standing = standing;
-    parts.told.cap = cap;
+    const bool moved = build != parts.told.build || stage != parts.told.stage;
+    parts.told = {build, stage, standing, cap, moved ? parts.now - age : parts.told.since};
     if (standing == Standing::goingBack || standing == Standing::withdrawn) parts.answeredBy.clear();
     parts.listed(false, {});
     parts.castVote();
