Floor of open hits 2.5 a pod over all sidecars; parts of a hit let in by chance

Now the least is a share of the fleet's, and a quiet sidecar lets a hit in by that chance while hits come late.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,8 +43,9 @@
 constexpr double podsAmiss = 0.1;           // lost, or slower than the rest: the fleet is not what it was
 constexpr double slowBar = 0.4, calmShare = 0.2;  // of all pods, against the time before the build
 
-constexpr double openPart = 0.4;  // of the target latency: what open hits come to at the pace of deliveries
-constexpr int paceTicks = 5;      // over which that pace fades
+constexpr double openPart = 0.4;    // of the target latency: what open hits come to at the pace of deliveries
+constexpr int paceTicks = 5;        // over which that pace fades
+constexpr double openPerPod = 2.5;  // that all sidecars may have, whatever the pace
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;   // of the shortest target latency: a pod that owes answers so long is mute
 constexpr double coldPart = 0.7;    // of the multiple at which a cold pod falls over
@@ -357,11 +358,12 @@
         double open = 0, usable = 0;
         for (auto* pod : pods)
             if (pod->availability == Availability::up && wanted(*pod)) open += pod->out, ++usable;
-        // No pace is known yet, or it has fallen; the sidecars' floors add up to some two hits a pod.
-        const double floor = ticks < paceTicks ? 2 * usable
-                             : inTime()        ? usable / 2
-                                               : std::min(usable / 2, 2 * usable / balancers);
-        if (open < std::max(paceRoom(), 2 + floor)) return Next::pass;
+        // No pace is known yet, or hits come in time, or the sidecars' floors add up to some hits a pod. A
+        // part of a hit is let in by chance, so that hundreds of sidecars' parts add up too.
+        const double floor = ticks < paceTicks ? 2 + 2 * usable : inTime() ? 2 + usable / 2 : 0;
+        const double least = std::max(floor, openPerPod * usable / balancers);
+        if (open + 1 <= std::max(paceRoom(), least) + static_cast<double>(chance() % 1000) / 1000)
+            return Next::pass;
         // To rank now against the time before a build, a hit kept out is as good as late: else the limit
         // would hide that a build slows all pods.
         const auto group = static_cast<std::size_t>(passage.hit.group->index);
