--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -46,6 +46,7 @@
 constexpr double openPart = 0.4;    // of the target latency: what open hits come to at the pace of deliveries
 constexpr int paceTicks = 5;        // over which that pace fades
 constexpr double openPerPod = 2.5;  // that all sidecars may have, whatever the pace
+constexpr double fewOutcomes = 8;   // own ones of late by which a share must pass a bar
 constexpr int furtherForwards = 2;
 constexpr double quietPart = 0.5;   // of the shortest target latency: a pod that owes answers so long is mute
 constexpr double coldPart = 0.7;    // of the multiple at which a cold pod falls over
@@ -193,7 +194,7 @@
     int secondsSeen = 0, ticks = 0, lostPods = 0;
     double pace = 0;  // deliveries in time, each as its part of the target latency, fading
     Nanos nextSecond = 0;
-    std::array<int, 2> recent{};     // own outcomes lately: in time, late or turned away
+    std::array<double, 2> recent{};  // own outcomes lately: in time, late or turned away
     double arrived = 0, demand = 0;  // first tries: this second, and a second of late
     News told;
     Trial trial;
@@ -342,7 +343,7 @@
     double paceRoom() const { return pace / static_cast<double>(paceTicks * tickEvery); }
 
     // A quiet sidecar's pace is a figure of chance: it binds only once hits come late.
-    bool inTime() const { return recent[1] * 8 <= recent[0]; }
+    bool inTime() const { return recent[1] * 8 <= recent[0] + fewOutcomes; }
 
     int openNow() const {
         int open = 0;
@@ -518,7 +519,7 @@
     }
 
     // The sidecar sees overload when a third of its own outcomes lately came late or were turned away.
-    bool overloaded() const { return recent[0] + recent[1] >= 16 && recent[1] * 2 > recent[0]; }
+    bool overloaded() const { return recent[1] * 2 > recent[0] + fewOutcomes; }
 
     // ---- Pods: the list, and which are left out for a while. ----
 
@@ -673,6 +674,7 @@
         std::vector<PodNote> seen, view;
         Use all;
         met.halve();
+        for (auto& some : recent) some /= 2;
         for (auto* pod : pods) {
             pod->lately.halve();
             if (pod->unsent.tries > 0)
