--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -288,10 +288,9 @@
     }
 
     // A cold pod may get its part of what this sidecar has lately had delivered by a warm pod, times less
-    // than the multiple that the rule allows, and no burst: what each sidecar keeps to of its own, all keep
-    // to of the whole. Delivered work is what pods can do; work sent would grow with the jam. A quiet
-    // sidecar's part is less than a hit; so each starts up to one hit in debt, by chance, and hundreds of
-    // them still add up to their part.
+    // than the multiple that the rule allows, and no burst: what each keeps to of its own, all keep to of the
+    // whole. Work sent would grow with the jam. A quiet sidecar's part is less than a hit: each starts up to
+    // one in debt, by chance, so that hundreds of them add up to their part.
     double coldRoom(Pod& pod) {
         const auto since = std::max(pod.coldMark, pod.started);
         pod.coldSpent += doneRate * warmth(pod) * coldExcess *
@@ -353,8 +352,8 @@
 
     // Guards against a jam that feeds itself (a burst, dead pods, a slow build, clients that come again): no
     // more hits are open than the pace of answers in time can clear within a part of the target latency. Hits
-    // that hang at silent or benched pods are no sign of a jam and do not count. Harm: a pace that falls for
-    // another cause bounces hits for up to a second, down to one hit for every other pod.
+    // that hang at pods left out are no sign of a jam and do not count. Harm: a pace that falls for another
+    // cause bounces hits for up to a second.
     Next admit(Passage& passage) {
         double open = 0, usable = 0;
         for (auto* pod : pods)
@@ -805,12 +804,12 @@
                std::any_of(pods.begin(), pods.end(), [&](auto* pod) { return cold(*pod); });
     }
 
-    // Exception: a build may slow all pods, old and new, in step with the traffic that it gets; ranks of new
-    // against earlier then show nothing. So the same test ranks all answers of late against those before the
-    // build came. While these are slower, voters abstain and the timer waits; if that lasts for two poolings
-    // with no other cause known, it is 'back', unless it already held in the first stage, whose traffic is
-    // too little to slow a fleet. Also guards against going on in a jam. Harm: a burst or slow spell of that
-    // length in a later stage takes a good build off.
+    // Exception: a build may slow all pods, old and new, in step with its traffic; new against earlier then
+    // shows nothing. So the same test ranks all answers of late against those before the build came. While
+    // these are slower, voters abstain and the timer waits; if that lasts for two poolings with no known
+    // cause, it is 'back', unless it held in the first stage already, whose traffic is too little. Also
+    // guards against going on in a jam. Harm: a slow spell of that length in a later stage takes a good build
+    // off.
     bool slowerThanBefore(const Side& lately, const Side& before) {
         const double n = lately.all(), m = before.all();
         if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
