Errors, flags and late answers must be twice the earlier builds' and the margin

Told from a bad build by the earlier build's share, itself 9 %; a bar of a fixed 0.6 % asks for equality to a hair there. Also guards late shares in a jam. Harm: a build that doubles a common fault passes this test (ranks still see it).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -767,7 +767,8 @@
             return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
         };
         const auto more = [&](double x, double y, double margin) {
-            return fails(inTwo(x, n), inTwo(y, m), 0.5 - margin / 2);
+            return fails(inTwo(x, n), inTwo(y, m),
+                         0.5 - (margin + y / m) / 2);  // where many err, chance errs more
         };
         return more(newer.errored, earlier.errored, errorMargin) ||
                more(newer.flagged, earlier.flagged, flagMargin) ||
