--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -37,6 +37,7 @@
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may be late, err or be flagged more often than the earlier.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
+constexpr Nanos longSpell = 5 * poolEvery;  // slower for so long with other causes: those are it
 constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
 constexpr double demandRise = 1.4;          // first tries against the time before: a burst
 constexpr int demandSeconds = 3;            // over which they are counted
@@ -151,7 +152,8 @@
         std::vector<Side> lately;               // by path group: all builds, halved at each pooling
         std::vector<Heard> verdicts;            // by peer
         Verdict verdict = Verdict::none;        // as voter
-        Nanos slowSince = -1;                   // all pods slower than before the build came
+        Nanos slowSince = -1,
+              heldSince = -1;  // all pods slower than before the build came, by no known cause
         double demandBefore = 0;
         bool slowAnyway = false;  // and that is not the build's doing
         Nanos judged = std::numeric_limits<Nanos>::min() / 4;
@@ -844,9 +846,11 @@
             return Verdict::back;
         const auto [these, those] = mixed(past);
         if (slowerThanBefore(these, those)) {
+            if (trial.slowSince < 0) trial.heldSince = now;
             if (trial.slowSince < 0 || knownCause()) trial.slowSince = now;
-            if (now - trial.slowSince < slowSpell) return Verdict::none;
-            if (told.stage > 0 && !trial.slowAnyway) return Verdict::back;
+            trial.slowAnyway = now - trial.heldSince >= longSpell;
+            if (!trial.slowAnyway && now - trial.slowSince < slowSpell) return Verdict::none;
+            if (!trial.slowAnyway && told.stage > 0) return Verdict::back;
             trial.slowAnyway = true;
         } else {
             trial.slowSince = -1;
