--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,7 +49,7 @@
 constexpr double openPerPod = 2.5;  // that all sidecars may have, whatever the pace
 constexpr double fewOutcomes = 8;   // own ones of late by which a share must pass a bar
 constexpr int furtherForwards = 2;
-constexpr double quietPart = 0.5;   // of the shortest target latency: a pod that owes answers so long is mute
+constexpr Nanos quietPart = 2;      // of the shortest target latency: a pod that owes answers so long is mute
 constexpr double coldPart = 0.7;    // of the multiple at which a cold pod falls over
 constexpr double slowest = 2;       // what a failure counts as, in target latencies; no answer counts more
 constexpr double viewWeighs = 4;    // own outcomes at a pod that weigh as much as the voters' word on it
@@ -225,15 +225,13 @@
         countAfter = std::max(skipFirst, coldTime * 3 / 4);
         renewAfter = told.voteLife / 2;
         answerWait = told.answerWait;
-        rateGap =
-            static_cast<Nanos>(static_cast<double>(balancers * second) / std::max(told.votesPerSecond, 0.1));
+        rateGap = static_cast<Nanos>(1.0 * balancers * second / std::max(told.votesPerSecond, 0.1));
         advice = told.adviseRetry ? told.maxRetryAfter : 0;
         silentAfter = second;
         calm.resize(told.groups.size());
         settleFor = coldTime + poolEvery;
         for (const auto& group : told.groups) {
-            silentAfter =
-                std::min(silentAfter, static_cast<Nanos>(static_cast<double>(group.target) * quietPart));
+            silentAfter = std::min(silentAfter, group.target / quietPart);
             double edge = static_cast<double>(group.target);  // then in steps of a square root of two
             auto& made = edges.emplace_back();
             for (int bin = lastBin; bin-- > 0; edge /= std::sqrt(2.0)) made[bin] = static_cast<Nanos>(edge);
@@ -281,8 +279,7 @@
     // The least that a pod of this age can do, as a share of a warm one.
     double warmth(const Pod& pod) const {
         if (!cold(pod)) return 1;
-        const auto age = static_cast<double>(std::max<Nanos>(now - pod.started, 0));
-        return coldFrom + (1 - coldFrom) * age / static_cast<double>(coldTime);
+        return coldFrom + (1 - coldFrom) * std::max<Nanos>(now - pod.started, 0) / coldTime;
     }
 
     double weight(const Hit& hit) const {
@@ -295,8 +292,7 @@
     // one in debt, by chance, so that hundreds of them add up to their part.
     double coldRoom(Pod& pod) {
         const auto since = std::max(pod.coldMark, pod.started);
-        pod.coldSpent += doneRate * warmth(pod) * coldExcess *
-                         static_cast<double>(std::max<Nanos>(now - since, 0)) / second;
+        pod.coldSpent += doneRate * warmth(pod) * coldExcess * std::max<Nanos>(now - since, 0) / second;
         pod.coldMark = now;
         return pod.coldSpent = std::min(pod.coldSpent, 0.0);
     }
@@ -603,8 +599,8 @@
         for (int at = 0; at < std::min(voterCount, balancers); ++at) trial.voters.push_back(order[at].second);
     }
 
-    bool isVoter() const {
-        return std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
+    bool isVoter() const {  // where there are no messages, each judges what it counts itself
+        return !mayTell || std::find(trial.voters.begin(), trial.voters.end(), me) != trial.voters.end();
     }
 
     // Only first forwards count: further ones carry what was slow once, and go to the earlier build alone.
@@ -640,9 +636,8 @@
     void poolCounts() {
         auto message = head(Message::Kind::counts);
         tell(encodeCounts(message, trial.own), trial.voters);
-        if (!isVoter()) return;
         message.groups = trial.own;
-        absorb(me, message);
+        if (isVoter()) absorb(me, message);
     }
 
     Message head(Message::Kind kind) {
