Each sidecar waits for the last stage to settle by itself; back bar 0.38

Now each waits by itself before it votes in the last stage. Such a build ranks at P(X <= Y) of about 0.35: at that bar the test abstains and the timer votes on; at 0.38 both are sent back.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -30,7 +30,7 @@
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
-constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
+constexpr double onBar = 0.4, backBar = 0.38, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
 constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
 constexpr double besidePart = 0.5;  // of the new build's recent outcomes, that the earlier ones still have
@@ -764,10 +764,10 @@
             return rankTest(x, y, bar, draws, chance).upperChance < 1 - certain;
         };
         const auto more = [&](double x, double y, double margin) {
-            return fails(inTwo(x, n), inTwo(y, m),
-                         0.5 - (margin + y / m) / 2);  // where many err, chance errs more
+            return fails(inTwo(x, n), inTwo(y, m), 0.5 - margin / 2);
         };
-        return more(newer.errored, earlier.errored, errorMargin) ||
+        // Where many err, chance errs more: twice the earlier builds' and the margin.
+        return more(newer.errored, earlier.errored, errorMargin + earlier.errored / m) ||
                more(newer.flagged, earlier.flagged, flagMargin) ||
                (beside && (fails(newer.bins, earlier.bins, backBar) ||
                            more(newer.bins[lastBin], earlier.bins[lastBin], lateMargin)));
@@ -850,10 +850,6 @@
         } else {
             trial.slowSince = -1;
         }
-        // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
-        // shows only with all traffic (a build slow under load, or slowing all) would be released unseen.
-        if (!clocked && told.build == trial.build && told.stage >= lastStage && now - told.since < settleFor)
-            return Verdict::none;
         if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure)
             return Verdict::on;
         if (clocked) {
@@ -886,6 +882,11 @@
         if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
         if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn)
             verdict = Verdict::none;
+        // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
+        // shows only with all traffic would be released unseen. Each waits by itself: hundreds could not take
+        // back a vote.
+        if (verdict == Verdict::on && told.stage >= lastStage && now - told.since < settleFor)
+            verdict = Verdict::none;
         const bool anyStage = verdict == Verdict::back || verdict == Verdict::none;
         const bool same = cast.verdict == verdict && (verdict == Verdict::none || cast.build == told.build) &&
                           (anyStage || cast.stage == told.stage);
