--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr unsigned char version = 4;
+constexpr std::uint32_t builds = 65536;  // numbers of builds are below
 
 void put(std::string& to, std::uint32_t value) {
     while (value >= 0x80) {
@@ -120,6 +121,7 @@
     message.epoch = reader.number();
     message.seq = reader.number();
     message.build = reader.number();
+    if (message.build >= builds) return {};
     const auto last = reader.number();
     if (message.kind == Message::Kind::verdict) {
         message.verdict = last;
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -193,3 +193,33 @@
     }
     both.matches("slower-than-before");
 }
+
+TEST_CASE("words on builds and pods that cannot be, and of peers that are not there, change nothing") {
+    Message word{Message::Kind::verdict, 9, 1, 0xffffffffu, 3, 0, {}, {}};
+    CHECK(!decode(encode(word)));
+    word.build = 65536;
+    CHECK(!decode(encode(word)));
+    word.build = 65535;
+    CHECK(decode(encode(word)));
+    Message view{Message::Kind::view, 9, 1, 6, 0, 0, {}, {{0xffffffffu, 0xffffffffu, 0xffffffffu}}};
+    Trial trial;
+    trial.quiet = true;
+    trial.balance->heard(1, encodePods(view, view.pods, view.seq)[0]);
+    trial.balance->heard(1 << 20, encodePods(view, view.pods, view.seq)[0]);
+    trial.balance->heard(1, std::string(maxMessage + 1, '\x04'));
+    auto& hit = trial.hit("after", 0);
+    CHECK(hit.forwards.size() == 1);
+}
+
+TEST_CASE("a list of thousands of pods is taken as one of ten") {
+    Scene scene;
+    scene.quiet = true;
+    for (std::uint32_t id = 1; id <= 3000; ++id) scene.pods[id].id = id;
+    std::vector<Listing> lines;
+    for (auto& [id, pod] : scene.pods) lines.push_back({&pod, 5, 0, 0, Availability::up});
+    scene.balance->listed(true, lines);
+    for (int turn = 0; turn < 50; ++turn) scene.pass("h" + std::to_string(turn), 0);
+    lines.resize(1);
+    scene.balance->listed(true, lines);
+    CHECK(scene.hit("last", 0).forwards[0].pod->id == 1);
+}
