--- a/src/adapter/wire.hpp
+++ b/src/adapter/wire.hpp
@@ -1,4 +1,4 @@
-// Lines of the wire: cutting them up, reading values, and the settings of a HELLO.
+// Lines of the wire: cutting them up and reading values, and the pairs of a HELLO.
 #pragma once
 
 #include <stdexcept>
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "state.hpp"
+#include "settings.hpp"
 
 namespace lichenlanding::wire {
 
@@ -15,11 +15,6 @@
     using std::runtime_error::runtime_error;
 };
 
-// A setting that the decisions need and that was not told; what() names the key.
-struct MissingSetting : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 // The parts of one line, read in order, each under the name it has on the wire page.
 class Line {
   public:
@@ -55,7 +50,7 @@
 
 Row readRow(Line& line);
 Outcome readOutcome(Line& line, const char* field);
-Settings readSettings(const std::vector<std::string_view>& pairs);
+NamedValues readPairs(const std::vector<std::string_view>& pairs);
 
 std::string hex(std::string_view bytes);
 std::string millis(Nanos span);
--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,72 @@
+// One HTTP/1.1 connection of this sidecar to another party, carrying one call at a time. Nothing is ever sent
+// a second time by itself.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/ending.hpp"
+#include "net/loop.hpp"
+
+namespace lichenlanding::net {
+
+struct Address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    bool operator==(const Address&) const = default;
+    std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+struct Call {
+    evhttp_cmd_type method = EVHTTP_REQ_GET;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+// How a call ended and what came back.
+struct Return {
+    Ending ending = Ending::calledOff;
+    int code = 0;
+    std::string body, load;  // load: the pod's report, where the answer carries one
+};
+
+class Connection {
+  public:
+    using Done = std::function<void(Return)>;
+    using Piece = std::function<void(std::string_view)>;
+
+    Connection(Loop& loop, const Address& address, std::size_t longestBody);
+    ~Connection() { letGo(); }
+
+    // done is called once, from the loop, unless the connection is destroyed first. within 0: no limit. With
+    // piece, the answer's body is given as it comes.
+    void call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece = nullptr);
+    void end(Ending why);  // closes it; a call that is out ends so
+    void abandon();        // closes it; a call that is out is not told
+    bool free() const { return alive_ && !done_; }
+    const Address& address() const { return address_; }
+    void onClose(std::function<void()> closed) { closed_ = std::move(closed); }  // the other side, when idle
+
+  private:
+    void answered(evhttp_request* answer);
+    void finish(Return result);
+    void letGo();
+
+    Loop& loop_;
+    Address address_;
+    Owned<evhttp_connection> connection_;
+    Timer connectTimer_, timer_;
+    Done done_;
+    Piece piece_;
+    std::function<void()> closed_;
+    evbuffer_cb_entry* watch_ = nullptr;
+    bool alive_ = true, connected_ = false, written_ = false, starting_ = false, garbled_ = false;
+};
+
+// The address in "127.0.0.1:7070"; throws std::invalid_argument if it is none.
+Address readAddress(std::string_view text);
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/desk.hpp
@@ -0,0 +1,34 @@
+// The release platform: votes and their answers, and the watch on which it tells its news.
+#pragma once
+
+#include <list>
+
+#include "net/messages.hpp"
+#include "net/stream.hpp"
+
+namespace lichenlanding::net {
+
+class Desk {
+  public:
+    using Heard = std::function<void(const StageNews&, bool answer, Outcome answered)>;
+    using Disputed = std::function<void(const Dispute&)>;
+
+    Desk(Loop& loop, const Address& address, Nanos connectWithin, Nanos answerWait, std::uint32_t seed,
+         Heard heard, Disputed disputed);
+
+    void start() { stream_.open(); }
+    void vote(Verdict verdict, int build, int stage);
+
+  private:
+    bool line(std::string_view json);
+
+    Loop& loop_;
+    Address address_;
+    Nanos connectWithin_, answerWait_;
+    Heard heard_;
+    Disputed disputed_;
+    std::list<Connection> votes_;  // that are out
+    Stream stream_;
+};
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,34 @@
+// The list of pods: what was known at start, then a watch from its revision on. A list that cannot be read is
+// asked for whole.
+#pragma once
+
+#include "net/messages.hpp"
+#include "net/stream.hpp"
+#include "net/upstream.hpp"
+
+namespace lichenlanding::net {
+
+class Discovery {
+  public:
+    using Listed = std::function<void(bool whole, std::vector<Listing> lines)>;
+
+    Discovery(Loop& loop, const Address& address, Nanos connectWithin, std::uint32_t seed,
+              const std::vector<std::string>& zones, Upstream& upstream, Listed listed);
+
+    void start(const std::optional<PodList>& known);
+    bool any() const { return any_; }  // a list has been told
+
+  private:
+    void take(const PodList& list);
+    bool line(std::string_view json);
+
+    Loop& loop_;
+    const std::vector<std::string>& zones_;
+    Upstream& upstream_;
+    Listed listed_;
+    Stream stream_;
+    std::int64_t revision_ = 0;
+    bool any_ = false;
+};
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/front.hpp
@@ -0,0 +1,83 @@
+// The side that clients see: an evhttp server, and one Caller for each request that has come in whole.
+#pragma once
+
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "net/connection.hpp"
+
+namespace lichenlanding::net {
+
+class Front;
+
+// One client's request and the one answer to it. Destroyed unanswered, it answers 500.
+class Caller {
+  public:
+    Caller(Front& front, evhttp_request* request);
+    ~Caller();
+    Caller(const Caller&) = delete;
+
+    std::optional<std::string> header(const char* name) const;
+    evhttp_cmd_type method() const { return evhttp_request_get_command(request_); }
+    std::string path() const { return evhttp_request_get_uri(request_); }  // with its query
+    const std::string& body() const { return body_; }
+    void onGone(std::function<void()> gone) { gone_ = std::move(gone); }  // the client left before its answer
+
+    // Sent at once; what comes after the first answer is dropped. retryAfter 0: no advice.
+    void answer(int code, const std::string& body, Nanos retryAfter = 0);
+
+  private:
+    friend class Front;
+    void left();
+
+    Front& front_;
+    evhttp_request* request_;  // evhttp's until it is answered
+    evhttp_connection* connection_;
+    std::string body_;
+    std::function<void()> gone_;
+    bool answered_ = false;
+};
+
+class Front {
+  public:
+    using Took = std::function<void(std::unique_ptr<Caller>)>;
+
+    // Throws if it cannot listen. Requests for readiness are answered here.
+    Front(Loop& loop, const Address& listen, int descriptors, Took took, std::function<bool()> ready);
+    ~Front();
+
+    void closeAfterAnswers();  // each connection gets one answer more, and idle ones are closed
+    void closeDoor();          // no new connections
+    bool anyWaiting() const;   // a connection that nobody has accepted yet
+    Address address() const;
+
+  private:
+    friend class Caller;
+    struct Client {
+        Front& front;
+        evhttp_connection* connection;
+        Caller* caller = nullptr;  // whose request is on it now
+    };
+
+    void request(evhttp_request* request);
+    Client& client(evhttp_connection* connection);
+    void watchForLeaving(Client& client);
+    void gone(Client& client);
+    void closeIdle();
+
+    Loop& loop_;
+    Took took_;
+    std::function<bool()> ready_;
+    int descriptors_;
+    bool closing_ = false;
+    Owned<evhttp> server_;
+    evconnlistener* listener_ = nullptr;  // the server's
+    Timer accept_, idle_;
+    // Connections that have carried a request, in the order of their first one.
+    std::list<Client> clients_;
+    std::unordered_map<evhttp_connection*, std::list<Client>::iterator> found_;  // looked up, never walked
+};
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/passage.hpp
@@ -0,0 +1,60 @@
+// One hit's life, from the client's whole request to its answer and the end of its last forward.
+#pragma once
+
+#include "balance.hpp"
+#include "net/front.hpp"
+#include "net/task.hpp"
+#include "net/upstream.hpp"
+
+namespace lichenlanding::net {
+
+// What a passage needs of the sidecar around it.
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual Nanos now() const = 0;
+    virtual void decide(const std::function<void(Balance&)>& call) = 0;  // the one way to the decisions
+    virtual Upstream& upstream() = 0;
+    virtual void passed(class Passage& passage) = 0;  // its life is over; it is freed later
+};
+
+class Passage {
+  public:
+    Passage(Host& host, const Settings& settings, std::unique_ptr<Caller> caller);
+
+    void start() { life_ = life(); }
+
+    // What the decisions ask for, carried out after their call has returned.
+    void forwardNext(const Forward& sent, Nanos timeout) { next_ = {&sent, timeout}; }
+    void bounce(Nanos retryAfter) { caller_->answer(503, {}, retryAfter); }
+    void error() { caller_->answer(500, {}); }
+    void cancel(int shot);
+
+    static Passage& of(const Hit& hit) { return static_cast<const OpenHit&>(hit).passage; }
+
+  private:
+    struct OpenHit : Hit {
+        explicit OpenHit(Passage& of) : passage(of) {}
+        Passage& passage;
+    };
+    struct Asked {
+        const Forward* forward = nullptr;
+        Nanos timeout = 0;
+    };
+    struct Sending;  // waited for: a forward's end
+
+    Task life();
+    int refusal();  // reads the request into the hit; 0, or the answer to one that cannot be a hit
+    Call callFor(Nanos timeout) const;
+
+    Host& host_;
+    const Settings& settings_;
+    std::unique_ptr<Caller> caller_;
+    OpenHit hit_{*this};
+    std::string mark_;
+    Asked next_;
+    Line* line_ = nullptr;  // of the forward that is out
+    Task life_;
+};
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/sidecar.cpp
@@ -0,0 +1,145 @@
+#include "net/sidecar.hpp"
+
+#include <algorithm>
+
+namespace lichenlanding::net {
+namespace {
+
+// New connections keep coming for so long after a stop was asked for, and a little more for safety.
+constexpr Nanos newcomersFor = 600'000'000;
+constexpr Nanos leaveLook = 10'000'000;
+
+// Half of the descriptors are for pods; the rest are for clients, and few for the other parties.
+int podConnections(int descriptors) { return std::max(descriptors / 2 - 32, 1); }
+
+}  // namespace
+
+Sidecar::Sidecar(const Config& config)
+    : config_(config),
+      upstream_(loop_, config_.settings.connectWithin, config_.settings.keepIdle,
+                podConnections(config_.sockets)),
+      balance_(config_.settings, config_.seed, *this),
+      discovery_(loop_, config_.discovery, config_.settings.connectWithin,
+                 static_cast<std::uint32_t>(config_.seed), config_.settings.zones, upstream_,
+                 [this](bool whole, std::vector<Listing> lines) {
+                     decide([&](Balance& balance) { balance.listed(whole, lines); });
+                 }),
+      desk_(
+          loop_, config_.platform, config_.settings.connectWithin, config_.settings.answerWait,
+          static_cast<std::uint32_t>(config_.seed >> 32),
+          [this](const StageNews& news, bool answer, Outcome answered) {
+              decide([&](Balance& balance) {
+                  balance.news(news.build, news.stage, news.standing, answer, answered, news.cap, news.age);
+              });
+          },
+          [this](const Dispute& dispute) {
+              for (const auto& group : config_.settings.groups)
+                  if (group.name == dispute.group)
+                      decide([&](Balance& balance) {
+                          balance.flagged(upstream_.place(dispute.pod), dispute.age, group);
+                      });
+          }),
+      peers_(loop_, config_.peerListen, config_.peers, config_.peersAll,
+             [this](int peer, const std::string& bytes) {
+                 decide([&](Balance& balance) { balance.heard(peer, bytes); });
+             }),
+      front_(
+          loop_, config_.listen, config_.sockets,
+          [this](std::unique_ptr<Caller> caller) { took(std::move(caller)); },
+          [this] { return discovery_.any(); }),
+      wake_(loop_, [this] { decide([](Balance& balance) { balance.woke(); }); }),
+      leave_(loop_, [this] { leaveIfDone(); }) {
+    decide([](Balance& balance) { balance.woke(); });
+    if (config_.news) {
+        const auto& news = *config_.news;
+        decide([&](Balance& balance) {
+            balance.news(news.build, news.stage, news.standing, false, Outcome::delivered, news.cap, news.age);
+        });
+    }
+    discovery_.start(config_.known);
+    desk_.start();
+    log(Kind::start, config_.name + " listens on " + front_.address().text());
+}
+
+Sidecar::~Sidecar() = default;
+
+void Sidecar::run() { loop_.run(); }
+
+// The decisions speak while they are called. What they ask for is carried out after the call has returned, so
+// that nothing calls them again meanwhile or frees what they are looking at.
+void Sidecar::decide(const std::function<void(Balance&)>& call) {
+    if (deciding_) return loop_.later([this, call] { decide(call); });
+    deciding_ = true;
+    balance_.at(loop_.now());
+    try {
+        call(balance_);
+    } catch (...) {
+        deciding_ = false;
+        throw;
+    }
+    deciding_ = false;
+    std::vector<std::function<void()>> asked;
+    asked.swap(asked_);
+    for (auto& carryOut : asked) carryOut();
+}
+
+void Sidecar::forward(const Forward& sent, Nanos timeout) { Passage::of(*sent.hit).forwardNext(sent, timeout); }
+void Sidecar::bounce(const Hit& hit, Nanos retryAfter) {
+    asked_.push_back([&hit, retryAfter] { Passage::of(hit).bounce(retryAfter); });
+}
+void Sidecar::error(const Hit& hit) {
+    asked_.push_back([&hit] { Passage::of(hit).error(); });
+}
+void Sidecar::cancel(const Hit& hit, int shot) {
+    asked_.push_back([&hit, shot] { Passage::of(hit).cancel(shot); });
+}
+
+void Sidecar::probe(const Pod& pod) {
+    asked_.push_back([this, &place = static_cast<Place&>(const_cast<Pod&>(pod))] {
+        const Call call{EVHTTP_REQ_GET, paths::load, {{"Host", place.address.text()}}, {}};
+        upstream_.send(place, call, config_.settings.connectWithin, [this, &place](Return back) {
+            const auto holds = readHolds(back.load.empty() ? back.body : back.load);
+            if (back.ending == Ending::answered && holds >= 0)
+                decide([&](Balance& balance) { balance.report(place, holds); });
+        });
+    });
+}
+
+void Sidecar::tell(int peer, const std::string& bytes) { peers_.tell(peer, bytes); }
+void Sidecar::vote(Verdict verdict, int build, int stage) {
+    asked_.push_back([this, verdict, build, stage] { desk_.vote(verdict, build, stage); });
+}
+void Sidecar::wake(Nanos after) { wake_.in(after); }
+
+void Sidecar::took(std::unique_ptr<Caller> caller) {
+    if (static_cast<int>(passages_.size()) >= config_.settings.maxOpen) return caller->answer(503, {});
+    Host& host = *this;
+    passages_.push_back(std::make_unique<Passage>(host, config_.settings, std::move(caller)));
+    passages_.back()->start();
+}
+
+void Sidecar::passed(Passage& passage) {
+    loop_.later([this, &passage] {
+        passages_.remove_if([&](auto& held) { return held.get() == &passage; });
+        if (stopped_ >= 0) leaveIfDone();
+    });
+}
+
+void Sidecar::stop() {
+    if (stopped_ >= 0) return;
+    stopped_ = loop_.now();
+    log(Kind::stop, std::to_string(passages_.size()) + " hits open");
+    front_.closeAfterAnswers();
+    leave_.in(newcomersFor);
+}
+
+// What a client has written is taken for as long as new connections may come, and what is taken is answered.
+void Sidecar::leaveIfDone() {
+    if (loop_.now() - stopped_ < newcomersFor) return;
+    leave_.in(leaveLook);
+    if (front_.anyWaiting() || !passages_.empty()) return;
+    log(Kind::stop, "all hits answered");
+    loop_.stop();
+}
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/sidecar.hpp
@@ -0,0 +1,62 @@
+// One sidecar: it owns the event loop and the parts, lets the decisions speak to them, and starts and stops.
+#pragma once
+
+#include <list>
+#include <optional>
+
+#include "balance.hpp"
+#include "net/config.hpp"
+#include "net/desk.hpp"
+#include "net/discovery.hpp"
+#include "net/front.hpp"
+#include "net/passage.hpp"
+#include "net/peers.hpp"
+#include "net/upstream.hpp"
+
+namespace lichenlanding::net {
+
+class Sidecar final : private Door, private Host {
+  public:
+    explicit Sidecar(const Config& config);  // listens; throws if it cannot
+    ~Sidecar() override;
+
+    void run();   // until stop() has come to its end
+    void stop();  // no longer ready; returns from run() once what was taken is answered
+    Loop& loop() { return loop_; }
+    Address address() const { return front_.address(); }
+
+  private:
+    void forward(const Forward& sent, Nanos timeout) override;
+    void bounce(const Hit& hit, Nanos retryAfter) override;
+    void error(const Hit& hit) override;
+    void cancel(const Hit& hit, int shot) override;
+    void probe(const Pod& pod) override;
+    void tell(int peer, const std::string& bytes) override;
+    void vote(Verdict verdict, int build, int stage) override;
+    void wake(Nanos after) override;
+    void listen() override {}  // the list comes by itself
+
+    Nanos now() const override { return loop_.now(); }
+    void decide(const std::function<void(Balance&)>& call) override;
+    Upstream& upstream() override { return upstream_; }
+    void passed(Passage& passage) override;
+
+    void took(std::unique_ptr<Caller> caller);
+    void leaveIfDone();
+
+    Config config_;
+    Loop loop_;
+    Upstream upstream_;
+    Balance balance_;
+    Discovery discovery_;
+    Desk desk_;
+    Peers peers_;
+    Front front_;
+    Timer wake_, leave_;
+    bool deciding_ = false;
+    std::vector<std::function<void()>> asked_;  // by the decisions, during their call
+    std::list<std::unique_ptr<Passage>> passages_;
+    Nanos stopped_ = -1;
+};
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,68 @@
+#include "net/stream.hpp"
+
+#include <algorithm>
+
+namespace lichenlanding::net {
+namespace {
+
+constexpr Nanos firstWait = 50'000'000;             // before a second opening; then twice as long each time
+constexpr std::size_t longestLine = 8 * 1024 * 1024;  // a list of tens of thousands of pods
+
+}  // namespace
+
+Stream::Stream(Loop& loop, const Address& address, Kind kind, Nanos connectWithin, Nanos silence,
+               std::uint32_t seed, Path path, Each each)
+    : loop_(loop),
+      address_(address),
+      kind_(kind),
+      connectWithin_(connectWithin),
+      silence_(silence),
+      wait_(firstWait),
+      chance_(seed),
+      path_(std::move(path)),
+      each_(std::move(each)),
+      silent_(loop, [this] { again("silent"); }),
+      reopen_(loop, [this] { open(); }) {}
+
+void Stream::open() {
+    partial_.clear();
+    connection_ = std::make_shared<Connection>(loop_, address_, SIZE_MAX >> 1);
+    silent_.in(silence_);
+    connection_->call({EVHTTP_REQ_GET, path_(), {{"Host", address_.text()}}, {}}, connectWithin_, 0,
+                      [this](Return back) { again(nameOf(back.ending)); },
+                      [this](std::string_view bytes) { came(bytes); });
+}
+
+void Stream::came(std::string_view bytes) {
+    silent_.in(silence_);
+    partial_ += bytes;
+    if (partial_.size() > longestLine) return again("a line is too long");
+    const auto end = partial_.rfind('\n');
+    if (end == partial_.npos) return;
+    std::string lines(partial_, 0, end + 1);
+    partial_.erase(0, end + 1);
+    for (std::size_t from = 0; from < lines.size();) {
+        const auto to = lines.find('\n', from);
+        const auto line = std::string_view(lines).substr(from, to - from);
+        from = to + 1;
+        if (line.empty() || line == "\r") continue;
+        if (!each_(line)) return again("a line cannot be read");
+    }
+    wait_ = firstWait;
+    if (!std::exchange(up_, true)) log(kind_, "watch on " + address_.text() + " stands");
+}
+
+void Stream::again(const char* why) {
+    if (std::exchange(up_, false) || std::exchange(told_, false))
+        log(kind_, "watch on " + address_.text() + " lost: " + why);
+    silent_.stop();
+    if (connection_) {
+        connection_->abandon();
+        loop_.bury(std::exchange(connection_, nullptr));
+    }
+    // Spaced out and spread, so that many sidecars do not come back at once.
+    reopen_.in(wait_ / 2 + static_cast<Nanos>(chance_() % 1000) * wait_ / 1000);
+    wait_ = std::min(wait_ * 2, silence_);
+}
+
+}  // namespace lichenlanding::net
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,25 @@
+// The settings of a sidecar, read from named values. The simulator's wire brings them as pairs, the sidecar's
+// configuration as nested JSON; both are flattened to the same paths first.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+
+#include "state.hpp"
+
+namespace lichenlanding {
+
+// A setting that the decisions need and that was not told, or not readably; what() names the key.
+struct MissingSetting : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Lists of plain values are joined by commas; a list of objects has its length under .count and its items
+// under .0, .1 and so on.
+using NamedValues = std::map<std::string, std::string, std::less<>>;
+
+Settings readSettings(const NamedValues& values);
+
+}  // namespace lichenlanding
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -51,6 +51,9 @@
     int closedStages = 0, backVotes = 1;
     bool perGroup = false, oneWay = false;
     double votesPerSecond = 1;
+    // Of a real sidecar's connections and clock; the decisions do not look at them. 0: not told.
+    Nanos connectWithin = 0, keepIdle = 0, grain = 0;
+    int maxOpen = 0;
 };
 
 struct Build {
