--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -152,11 +152,10 @@
         std::vector<Side> lately;               // by path group: all builds, halved at each pooling
         std::vector<Heard> verdicts;            // by peer
         Verdict verdict = Verdict::none;        // as voter
-        Nanos slowSince = -1,
-              heldSince = -1;  // all pods slower than before the build came, by no known cause
+        Nanos slowSince = -1, heldSince = -1;   // all pods slower than before, by no known cause
         double demandBefore = 0;
         bool slowAnyway = false;  // and that is not the build's doing
-        Nanos judged = std::numeric_limits<Nanos>::min() / 4;
+        Nanos judged = std::numeric_limits<Nanos>::min() / 4, urged = judged;
     };
 
     struct News {
@@ -556,12 +555,8 @@
             pod.zone = line.zone, pod.cell = line.cell;
             pod.started = line.started, pod.availability = line.availability;
             highest = std::max(highest, line.build);
-            const auto held = std::find(pods.begin(), pods.end(), &pod);
-            if (line.availability == Availability::gone) {
-                if (held != pods.end()) pods.erase(held);
-            } else if (held == pods.end()) {
-                pods.push_back(&pod);
-            }
+            std::erase(pods, &pod);
+            if (line.availability != Availability::gone) pods.push_back(&pod);
         }
         std::sort(pods.begin(), pods.end(), [](auto* one, auto* other) { return one->id < other->id; });
         present.clear();
@@ -624,7 +619,7 @@
             bin = static_cast<int>(std::upper_bound(edges[group].begin(), edges[group].end(), took) -
                                    edges[group].begin());
         ++tally.bins[static_cast<std::size_t>(bin)];
-        if (outcome == Outcome::errored) ++tally.errored;
+        if (outcome == Outcome::errored) ++tally.errored, urge(isNew);
         auto& past = calm[group].back().bins;
         if (++past[static_cast<std::size_t>(bin)] >= calmHalveAt)
             for (auto& some : past) some /= 2;
@@ -640,6 +635,13 @@
         if (isVoter()) absorb(me, message);
     }
 
+    // Exception: an error or a flagged answer of the new build does not wait for the pooling. Guards against
+    // a build that turns bad late, with the next one about to be offered, and any that fails much at once.
+    // Harm: a good build's few errors cost a message each, two a second at most.
+    void urge(bool isNew) {
+        if (isNew && now - trial.urged >= judgeAtMost) trial.urged = now, poolCounts();
+    }
+
     Message head(Message::Kind kind) {
         return {kind, epoch, ++seq, static_cast<std::uint32_t>(trial.build), 0, 0, {}, {}};
     }
@@ -879,9 +881,8 @@
     void castVote() {
         if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
         auto verdict = isVoter() ? trial.verdict : echo();
-        if (told.standing == Standing::released && verdict != Verdict::back) verdict = Verdict::none;
-        if (told.standing == Standing::goingBack || told.standing == Standing::withdrawn)
-            verdict = Verdict::none;
+        const bool late = told.standing == Standing::released && verdict == Verdict::back;
+        if (told.standing != Standing::trial && !late) verdict = Verdict::none;
         // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
         // shows only with all traffic would be released unseen. Each waits by itself: hundreds could not take
         // back a vote.
@@ -963,9 +964,10 @@
 void Balance::flagged(Pod& pod, Nanos age, const PathGroup& group) {
     auto& trial = parts_->trial;
     if (!pod.build || parts_->now - age < pod.started || pod.build->number > trial.build) return;
-    auto& tally = trial.own[static_cast<std::size_t>(group.index)][pod.build->number == trial.build ? 0 : 1];
-    ++tally.flagged;
-    ++tally.bins[lastBin];
+    const bool isNew = pod.build->number == trial.build;
+    auto& tally = trial.own[static_cast<std::size_t>(group.index)][isNew ? 0 : 1];
+    ++tally.flagged, ++tally.bins[lastBin];
+    parts_->urge(isNew);
 }
 
 void Balance::heard(int peer, const std::string& bytes) {
@@ -993,8 +995,7 @@
     if (answer) {
         parts.cast.next = parts.now;
         if (answered != Outcome::delivered) {  // it may not count: cast again, spaced out when over the rate
-            parts.cast.verdict = Verdict::none;
-            parts.cast.build = -1;
+            parts.cast.verdict = Verdict::none, parts.cast.build = -1;
             const auto gap = answered == Outcome::saturated ? parts.rateGap : tickEvery;
             parts.cast.next += gap / 2 + static_cast<Nanos>(parts.chance() % 1000) * gap / 1000;
         }
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -223,3 +223,30 @@
     scene.balance->listed(true, lines);
     CHECK(scene.hit("last", 0).forwards[0].pod->id == 1);
 }
+
+// Seen on sockets: a build that turned bad late was voted back 1.5 s too late, after the next one was
+// offered.
+TEST_CASE("an error of the new build is told at once, and the next ones half a second apart") {
+    Trial scene;
+    const auto told = [&](std::uint32_t build, Outcome outcome) {  // a hit sent to a pod of that build
+        const auto before = scene.sent.size();
+        for (int turn = 0; turn < 50; ++turn) {
+            auto& hit = scene.hit("h" + std::to_string(scene.hits.size()), 0);
+            if (hit.forwards.empty()) continue;
+            const bool there = hit.forwards[0].build->number == static_cast<int>(build);
+            scene.end(hit, there ? outcome : Outcome::delivered);
+            if (!hit.ended) scene.end(hit, Outcome::delivered);
+            if (there) return scene.sent.size() - before;
+        }
+        return std::size_t{99};
+    };
+    scene.go(6300 * ms);
+    CHECK(told(6, Outcome::delivered) == 0);
+    CHECK(told(5, Outcome::errored) == 0);
+    CHECK(told(6, Outcome::errored) == 1);
+    const auto message = decode(scene.sent.back());
+    REQUIRE(message);
+    CHECK(message->kind == Message::Kind::counts);
+    CHECK(message->groups[0][0].errored == 1);
+    CHECK(told(6, Outcome::errored) == 0);
+}
