A stop closes no connection on which half of a hit has been read

Found by reading: evhttp takes what it has parsed out of the input buffer, so an empty buffer does not mean that nothing has come (src/net/front.cpp, closeIdle). A hit whose rest crossed the close would have been lost.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -105,7 +105,11 @@
 }
 
 Front::~Front() {
-    for (auto& client : clients_) evhttp_connection_set_closecb(client.connection, nullptr, nullptr);
+    while (!clients_.empty()) {
+        auto& client = clients_.front();
+        evhttp_connection_set_closecb(client.connection, nullptr, nullptr);
+        gone(client);
+    }
 }
 
 Address Front::address() const {
@@ -123,6 +127,7 @@
     if (connection) {
         auto& client = this->client(connection);
         client.caller = caller.get();
+        client.reading = false;
         watchForLeaving(client);
     }
     if (!evhttp_request_get_uri(request)) return caller->answer(400);  // broken HTTP
@@ -135,10 +140,18 @@
 
 Front::Client& Front::client(evhttp_connection* connection) {
     auto [held, fresh] = found_.try_emplace(connection);
-    if (fresh) held->second = clients_.insert(clients_.end(), {*this, connection});
+    if (fresh) {
+        held->second = clients_.insert(clients_.end(), {*this, connection});
+        auto* stream = evhttp_connection_get_bufferevent(connection);
+        evbuffer_add_cb(bufferevent_get_input(stream), came, &*held->second);
+    }
     return *held->second;
 }
 
+void Front::came(evbuffer*, const evbuffer_cb_info* info, void* client) {
+    if (info->n_added > 0) static_cast<Client*>(client)->reading = true;
+}
+
 // While a hit is open its connection is still read, so that a client's leaving is seen; evhttp's own reader
 // would end the program over bytes that come then (a client that does not wait for its answer).
 void Front::watchForLeaving(Client& client) {
@@ -162,6 +175,8 @@
 void Front::gone(Client& client) {
     auto* caller = client.caller;
     const auto found = found_.find(client.connection);
+    auto* stream = evhttp_connection_get_bufferevent(client.connection);
+    evbuffer_remove_cb(bufferevent_get_input(stream), came, &client);
     clients_.erase(found->second);
     found_.erase(found);
     if (caller) caller->left();
@@ -172,14 +187,16 @@
     closeIdle();
 }
 
-// A connection between hits is closed only if nothing lies unread on it: what a client has written whole is
-// taken.
+// A connection between hits is closed only if nothing lies unread on it, nor part of a hit read by evhttp:
+// what a client is writing may be whole by the time the close reaches it.
 void Front::closeIdle() {
     std::vector<evhttp_connection*> idle;
     for (auto& client : clients_) {
         auto* stream = evhttp_connection_get_bufferevent(client.connection);
         int unread = 0;
-        if (client.caller || ioctl(bufferevent_getfd(stream), FIONREAD, &unread) != 0 || unread > 0) continue;
+        if (client.caller || client.reading || ioctl(bufferevent_getfd(stream), FIONREAD, &unread) != 0 ||
+            unread > 0)
+            continue;
         if (evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
             evbuffer_get_length(bufferevent_get_output(stream)) == 0)
             idle.push_back(client.connection);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -59,12 +59,14 @@
         Front& front;
         evhttp_connection* connection;
         Caller* caller = nullptr;  // whose request is on it now
+        bool reading = false;      // part of a next request may have come
     };
 
     void request(evhttp_request* request);
     Client& client(evhttp_connection* connection);
     void watchForLeaving(Client& client);
     void gone(Client& client);
+    static void came(evbuffer* input, const evbuffer_cb_info* info, void* client);
     void closeIdle();
 
     Loop& loop_;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -517,23 +517,29 @@
         return (*back)->code;
     };
     CHECK(ready() == 200);
-    RawClient open(town.sidecar->address()), idle(town.sidecar->address());
+    RawClient open(town.sidecar->address()), idle(town.sidecar->address()), slow(town.sidecar->address());
     const std::string get =
         "GET /read HTTP/1.1\r\nHost: h\r\nX-Call-Class: read\r\nX-Budget: 20000m\r\nX-Call-Id: ";
     idle.say("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
     town.until([&] { return idle.read().find("200 OK") != std::string::npos; });
+    slow.say("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    town.until([&] { return slow.read().find("200 OK") != std::string::npos; });
+    slow.say(get);  // half of a hit, when the stop comes
     open.say(get + "c-1\r\n\r\n");
     town.until([&] { return town.pods[0]->held.size() == 1; });
     town.sidecar->stop();
     town.until([&] { return idle.closed(); });
+    CHECK(!slow.closed());
+    slow.say("c-3\r\n\r\n");
+    town.until([&] { return town.pods[0]->held.size() == 2; });
     CHECK(ready() == 503);
     RawClient newcomer(town.sidecar->address());
     newcomer.say(get + "c-2\r\n\r\n");
-    town.until([&] { return town.pods[0]->held.size() == 2; });
+    town.until([&] { return town.pods[0]->held.size() == 3; });
     CHECK(!town.sidecar->loop().stopped());
     town.pods[0]->answerHeld(200, "in time");
-    town.until([&] { return open.closed() && newcomer.closed(); });
-    for (auto* client : {&open, &newcomer}) {
+    town.until([&] { return open.closed() && newcomer.closed() && slow.closed(); });
+    for (auto* client : {&open, &newcomer, &slow}) {
         CHECK(client->read().find("Connection: close") != std::string::npos);
         CHECK(client->read().find("in time") != std::string::npos);
     }
