Strict answers from pods, clients' connections bounded and timed, reload on SIGHUP

Seen: two crashes with 139, one with 129, and answers that no pod made. Descriptors ran out since nothing bounded clients' connections: 7,548 clients ask once and stay. 129 is SIGHUP, which nothing took.

Answers no pod made: evhttp's client takes what follows an answer, or one behind a 1xx, for the next call's answer; it takes the end of the connection for the end of a body and the first of two lengths. A kept connection is looked at before it is used again. evhttp stays on the clients' side.

Front: at most what descriptors leave is held; silent connections go first, then idle ones; what is unfinished 2.4 s after connecting, or after its first byte, is closed. Requests with two framings, a body without place, unreadable names or values, or an id that is open are refused and their connection ends. A stop now waits for answers to be written (the process left with the last hit's answer still in the buffer). An unreadable line ends the platform's watch, too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
-// The sidecar as a program: configuration from the environment, SIGTERM and SIGINT stop it.
+// The sidecar as a program: configuration from the environment, SIGTERM and SIGINT stop it, SIGHUP has it
+// read again.
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -6,11 +7,17 @@
 #include "net/sidecar.hpp"
 
 int main() {
+    using namespace lichenlanding::net;
     try {
-        lichenlanding::net::Sidecar sidecar(lichenlanding::net::configFromEnvironment());
-        const auto stop = [&] { sidecar.stop(); };
-        lichenlanding::net::Watch term(sidecar.loop(), SIGTERM, lichenlanding::net::Watch::signal, stop);
-        lichenlanding::net::Watch interrupt(sidecar.loop(), SIGINT, lichenlanding::net::Watch::signal, stop);
+        Sidecar sidecar(configFromEnvironment());
+        const auto on = [&](int signal, std::function<void()> call) {
+            return std::make_unique<Watch>(sidecar.loop(), signal, Watch::signal, std::move(call));
+        };
+        const auto terminate = on(SIGTERM, [&] { sidecar.stop(); });
+        const auto interrupt = on(SIGINT, [&] { sidecar.stop(); });
+        const auto hangup = on(SIGHUP, [&] {
+            if (const auto config = configAgain()) sidecar.reload(*config);
+        });
         sidecar.run();
     } catch (const std::exception& failure) {
         std::fprintf(stderr, "lichenlanding: %s\n", failure.what());
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -65,4 +65,14 @@
     return configOf(told);
 }
 
+std::optional<Config> configAgain() {
+    try {
+        const auto* path = std::getenv("RELAY_CONFIG");
+        return readConfig(path ? path : "");
+    } catch (const std::exception& failure) {
+        log(Kind::start, std::string("the configuration in force stays: ") + failure.what());
+        return {};
+    }
+}
+
 }  // namespace lichenlanding::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -24,5 +24,7 @@
 
 // From $RELAY_CONFIG, where $RELAY_NAME, $RELAY_LISTEN and $RELAY_DISCOVERY go before the file's values.
 Config configFromEnvironment();
+// The same file again, after a change: its own values count. Nothing, and one log line, if it cannot be read.
+std::optional<Config> configAgain();
 
 }  // namespace lichenlanding::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <stdexcept>
@@ -24,76 +25,66 @@
 Connection::Connection(Loop& loop, const Address& address, std::size_t longestBody)
     : loop_(loop),
       address_(address),
-      connection_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, nullptr, address.host.c_str(),
-                                                         address.port)),
+      longestBody_(longestBody),
       connectTimer_(loop,
                     [this] {
                         if (!connected_) end(Ending::neverUp);
                     }),
-      timer_(loop, [this] { end(Ending::timedOut); }) {
-    if (!connection_) throw std::runtime_error("cannot make a connection");
-    // Whether a call's last byte was written decides between 'never ran' and 'may have run', and evhttp does
-    // not tell. Its output buffer does: it fills once the connection is up and is empty once all is written.
-    // A reset empties it too, but by then the descriptor is gone.
-    const auto watch = [](evbuffer* output, const evbuffer_cb_info* info, void* context) {
-        auto& self = *static_cast<Connection*>(context);
-        auto* stream = evhttp_connection_get_bufferevent(self.connection_.get());
-        if (!self.done_ || bufferevent_getfd(stream) < 0) return;
-        if (info->n_added > 0 && !self.connected_) {
-            self.connected_ = true;
-            self.connectTimer_.stop();
-            const int on = 1;
-            setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        }
-        if (info->n_deleted > 0 && evbuffer_get_length(output) == 0) self.written_ = true;
-    };
-    auto* stream = evhttp_connection_get_bufferevent(connection_.get());
-    watch_ = evbuffer_add_cb(bufferevent_get_output(stream), watch, this);
-    if (!watch_) throw std::runtime_error("cannot watch a connection");
-    evhttp_connection_set_max_body_size(connection_.get(), static_cast<ev_ssize_t>(longestBody));
-    evhttp_connection_set_closecb(
-        connection_.get(),
-        [](evhttp_connection*, void* context) {
-            auto& self = *static_cast<Connection*>(context);
-            self.alive_ = false;
-            if (!self.done_ && self.closed_) guarded(self.closed_);
+      timer_(loop, [this] { end(Ending::timedOut); }) {}
+
+// The socket is made here, since libevent does not tell a full table of descriptors from a refusal.
+bool Connection::connect() {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) return false;
+    stream_.reset(bufferevent_socket_new(loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE));
+    if (!stream_) return close(descriptor), false;
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bufferevent_setcb(
+        stream_.get(),
+        [](bufferevent*, void* self) { guarded([&] { static_cast<Connection*>(self)->came(); }); }, nullptr,
+        [](bufferevent*, short what, void* self) {
+            guarded([&] { static_cast<Connection*>(self)->happened(what); });
         },
         this);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(address_.port);
+    inet_pton(AF_INET, address_.host.c_str(), &where.sin_addr);
+    if (::connect(descriptor, reinterpret_cast<sockaddr*>(&where), sizeof where) != 0 && errno != EINPROGRESS)
+        loop_.later([this, here = std::weak_ptr<char>(here_)] {
+            if (!here.expired() && !connected_) happened(BEV_EVENT_ERROR);
+        });
+    else bufferevent_socket_connect(stream_.get(), nullptr, 0);
+    return true;
 }
 
 void Connection::call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece) {
     done_ = std::move(done);
-    piece_ = std::move(piece);
-    written_ = garbled_ = false;
-    auto* request = evhttp_request_new(
-        [](evhttp_request* answer, void* context) {
-            guarded([&] { static_cast<Connection*>(context)->answered(answer); });
-        },
-        this);
-    if (!request) throw std::runtime_error("cannot make a request");
-    evhttp_request_set_error_cb(request, [](evhttp_request_error error, void* context) {
-        static_cast<Connection*>(context)->garbled_ =
-            error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG;
-    });
-    if (piece_)
-        evhttp_request_set_chunked_cb(request, [](evhttp_request* answer, void* context) {
-            auto& self = *static_cast<Connection*>(context);
-            auto* input = evhttp_request_get_input_buffer(answer);
-            const auto length = evbuffer_get_length(input);
-            const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
-            if (self.done_ && length > 0) guarded([&] { self.piece_({bytes, length}); });
+    answer_ = Answer(longestBody_, std::move(piece));
+    if (!stream_ && !connect())
+        return loop_.later([this, here = std::weak_ptr<char>(here_)] {
+            if (!here.expired()) end(Ending::noRoom);
         });
-    auto* headers = evhttp_request_get_output_headers(request);
-    for (const auto& [name, value] : call.headers) evhttp_add_header(headers, name.c_str(), value.c_str());
-    if (!call.body.empty())
-        evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+    std::string bytes = call.method == EVHTTP_REQ_GET    ? "GET "
+                        : call.method == EVHTTP_REQ_POST ? "POST "
+                                                         : "DELETE ";
+    bytes += call.path + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : call.headers) bytes += name + ": " + value + "\r\n";
+    if (call.method != EVHTTP_REQ_GET || !call.body.empty())
+        bytes += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    bytes += "\r\n" + call.body;
+    evbuffer_add(bufferevent_get_output(stream_.get()), bytes.data(), bytes.size());
     if (!connected_) connectTimer_.in(connectWithin);
     if (within > 0) timer_.in(within);
-    starting_ = true;
-    errno = 0;
-    const int failed = evhttp_make_request(connection_.get(), request, call.method, call.path.c_str());
-    starting_ = false;
-    if (failed && done_) finish({Ending::noRoom});
+}
+
+bool Connection::quiet() const {
+    char first;
+    return alive_ && stream_ &&
+           recv(bufferevent_getfd(stream_.get()), &first, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void Connection::end(Ending why) {
@@ -103,58 +94,54 @@
 }
 
 void Connection::abandon() {
-    loop_.bury(std::make_shared<std::pair<Done, Piece>>(std::exchange(done_, nullptr),
-                                                        std::exchange(piece_, nullptr)));
+    loop_.bury(std::make_shared<Done>(std::exchange(done_, nullptr)));
     end(Ending::calledOff);
     connectTimer_.stop();
     timer_.stop();
 }
 
-// Frees the connection, and the call with it, without calling back. Not at once: this may be called from
-// inside one of its callbacks, and evhttp looks at a connection after them.
+// libevent keeps what its callbacks are still in.
 void Connection::letGo() {
-    if (!connection_) return;
-    evhttp_connection_set_closecb(connection_.get(), nullptr, nullptr);
-    evbuffer_remove_cb_entry(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_.get())),
-                             watch_);
-    loop_.bury(std::shared_ptr<evhttp_connection>(connection_.release(), Release{}));
+    if (stream_) bufferevent_setcb(stream_.get(), nullptr, nullptr, nullptr, nullptr);
+    stream_.reset();
 }
 
-void Connection::answered(evhttp_request* answer) {
-    if (!done_) return;
-    const int code = answer ? evhttp_request_get_response_code(answer) : 0;
-    if (code == 0) {  // no whole answer; evhttp has closed the connection
-        const bool noRoom = !connected_ && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS);
+void Connection::came() {
+    auto* input = bufferevent_get_input(stream_.get());
+    if (!done_) {  // nobody has asked: whatever it is, it is no answer to the next call
         alive_ = false;
-        return finish({!connected_ ? noRoom ? Ending::noRoom : Ending::refused
-                       : !written_ ? Ending::cutBefore
-                       : garbled_  ? Ending::garbled
-                                   : Ending::cutAfter});
+        if (closed_) closed_();
+        return;
     }
-    auto* headers = evhttp_request_get_input_headers(answer);
-    const auto* notRun = evhttp_find_header(headers, headers::notRun);
-    const auto* load = evhttp_find_header(headers, headers::load);
-    auto* input = evhttp_request_get_input_buffer(answer);
-    const auto* type = evhttp_find_header(headers, "Content-Type");
-    Return result{endingOfAnswer(code, notRun && std::string_view(notRun) == "1"),
-                  code,
-                  {},
-                  type ? type : "",
-                  load ? load : ""};
-    result.body.resize(evbuffer_get_length(input));
-    evbuffer_remove(input, result.body.data(), result.body.size());
-    // An answer before the call was whole leaves the connection in no state for another.
-    if (!written_ || bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get())) < 0)
-        alive_ = false;
-    finish(std::move(result));
+    const auto state = answer_.read(input);
+    if (!done_ || state == Answer::State::more) return;  // a piece of it may have ended the call
+    if (state == Answer::State::spoilt) return end(Ending::garbled);
+    // What comes behind an answer, or an answer before the call was written whole, leaves the connection in
+    // no state for another.
+    const bool written = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+    if (answer_.closes || !written || evbuffer_get_length(input) > 0 || !quiet()) alive_ = false;
+    finish({endingOfAnswer(answer_.code, answer_.notRun), answer_.code, std::move(answer_.body),
+            std::move(answer_.type), std::move(answer_.load)});
+}
+
+// Whether a call's last byte was written decides between 'never ran' and 'may have run'.
+void Connection::happened(short what) {
+    if (what & BEV_EVENT_CONNECTED) {
+        connected_ = true;
+        return connectTimer_.stop();
+    }
+    alive_ = false;
+    if (done_) {
+        const bool written = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+        return end(!connected_ ? Ending::refused : written ? Ending::cutAfter : Ending::cutBefore);
+    }
+    if (closed_) closed_();
 }
 
 void Connection::finish(Return result) {
     connectTimer_.stop();
     timer_.stop();
-    auto done = std::exchange(done_, nullptr);
-    // evhttp may fail a call while it is being made: its end is told once the caller is out of here.
-    if (starting_) return loop_.later([done, result] { done(result); });
+    const auto done = std::exchange(done_, nullptr);
     done(std::move(result));
 }
 
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/answer.hpp"
 #include "net/ending.hpp"
 #include "net/loop.hpp"
 
@@ -37,7 +38,7 @@
 class Connection {
   public:
     using Done = std::function<void(Return)>;
-    using Piece = std::function<void(std::string_view)>;
+    using Piece = Answer::Piece;
 
     Connection(Loop& loop, const Address& address, std::size_t longestBody);
     ~Connection() { letGo(); }
@@ -51,20 +52,26 @@
     const Address& address() const { return address_; }
     void onClose(std::function<void()> closed) { closed_ = std::move(closed); }  // the other side, when idle
 
+    // Whether it can carry another call: nothing unasked has come, not even unread, and it has not ended.
+    bool quiet() const;
+
   private:
-    void answered(evhttp_request* answer);
+    bool connect();
+    void came();
+    void happened(short what);
     void finish(Return result);
     void letGo();
 
     Loop& loop_;
     Address address_;
-    Owned<evhttp_connection> connection_;
+    std::size_t longestBody_;
+    Owned<bufferevent> stream_;
     Timer connectTimer_, timer_;
+    Answer answer_;
     Done done_;
-    Piece piece_;
     std::function<void()> closed_;
-    evbuffer_cb_entry* watch_ = nullptr;
-    bool alive_ = true, connected_ = false, written_ = false, starting_ = false, garbled_ = false;
+    std::shared_ptr<char> here_ = std::make_shared<char>();  // for what is called later
+    bool alive_ = true, connected_ = false;
 };
 
 // The address in "127.0.0.1:7070"; throws std::invalid_argument if it is none.
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -48,11 +48,16 @@
     });
 }
 
+void Desk::move(const Address& address) {
+    address_ = address;
+    stream_.move(address);
+}
+
 bool Desk::line(std::string_view json) {
     const auto told = readPlatformLine(json);
     if (!told) {
         log(Kind::platform, "cannot read " + std::string(json.substr(0, 120)));
-        return true;  // dropped; the state of the newest build is told again
+        return false;  // nor can what follows be trusted; a new watch tells the newest build's state again
     }
     if (const auto* news = std::get_if<StageNews>(&*told)) heard_(*news, false, Outcome::delivered);
     if (const auto* dispute = std::get_if<Dispute>(&*told)) disputed_(*dispute);
--- a/src/net/desk.hpp
+++ b/src/net/desk.hpp
@@ -17,6 +17,7 @@
          Heard heard, Disputed disputed);
 
     void start() { stream_.open(); }
+    void move(const Address& address);  // votes that are out end where they are
     void vote(Verdict verdict, int build, int stage);
 
   private:
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -28,6 +28,11 @@
     stream_.open();
 }
 
+void Discovery::move(const Address& address) {
+    revision_ = -1;
+    stream_.move(address);
+}
+
 // After a line that cannot be read, what it held is missing: the whole list is asked for, then the watch
 // again.
 bool Discovery::line(std::string_view json) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -16,7 +16,8 @@
               const std::vector<std::string>& zones, Upstream& upstream, Listed listed);
 
     void start(const std::optional<PodList>& known);
-    bool any() const { return any_; }  // a list has been told
+    void move(const Address& address);  // the whole list is asked for there
+    bool any() const { return any_; }   // a list has been told
 
   private:
     void take(const PodList& list);
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,10 +1,12 @@
 #include "net/front.hpp"
 
 #include <arpa/inet.h>
+#include <event2/keyvalq_struct.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <cstring>
 #include <stdexcept>
 
@@ -13,9 +15,12 @@
 namespace lichenlanding::net {
 namespace {
 
-constexpr Nanos acceptAgain = 10'000'000;  // after descriptors ran out
-constexpr Nanos lookAtIdle = 20'000'000;   // while closing
-constexpr auto everyMethod = 0xffff;       // wrong ones are answered here, not by evhttp
+constexpr Nanos lookEvery = 20'000'000;
+constexpr Nanos silentSoon = 200'000'000;     // a client with a hit to send has said something by then
+constexpr Nanos wholeWithin = 2'400'000'000;  // a request, from the connection's start or its own first byte
+constexpr std::size_t longestHead = 16 * 1024;
+constexpr std::size_t aheadAtMost = 4 * 1024;  // read of what a client sends before it has its answer
+constexpr auto everyMethod = 0xffff;           // wrong ones are answered here, not by evhttp
 
 }  // namespace
 
@@ -39,7 +44,7 @@
 
 void Caller::answer(int code, const std::string& body, const std::string& type, Nanos retryAfter) {
     if (std::exchange(answered_, true)) return;
-    if (connection_) front_.client(connection_).caller = nullptr;
+    if (connection_) front_.answered(*front_.held(connection_));
     auto* headers = evhttp_request_get_output_headers(request_);
     evhttp_add_header(headers, "Content-Type", type.empty() ? "application/octet-stream" : type.c_str());
     if (retryAfter > 0) {
@@ -47,35 +52,34 @@
         std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(retryAfter) / 1e9);
         evhttp_add_header(headers, "Retry-After", seconds);
     }
-    // A table of descriptors that is nearly full is relieved of a connection, and so is a sidecar that stops.
-    auto* stream = connection_ ? evhttp_connection_get_bufferevent(connection_) : nullptr;
-    if (front_.closing_ || (stream && bufferevent_getfd(stream) >= front_.descriptors_ * 3 / 4))
-        evhttp_add_header(headers, "Connection", "close");
+    if (front_.closing_ || last_) evhttp_add_header(headers, "Connection", "close");
     auto* output = evhttp_request_get_output_buffer(request_);
     if (!body.empty()) evbuffer_add(output, body.data(), body.size());
     evhttp_send_reply(request_, code, nullptr, nullptr);  // frees the request if the client has left
 }
 
+void Caller::refuse(int code) {
+    last_ = true;
+    answer(code);
+}
+
 void Caller::left() {
     connection_ = nullptr;
     if (answered_) return;
     if (const auto gone = std::exchange(gone_, nullptr)) gone();
 }
 
-Front::Front(Loop& loop, const Address& listen, int descriptors, Took took, std::function<bool()> ready)
+Front::Front(Loop& loop, const Address& listen, std::size_t connectionsAtMost, Took took,
+             std::function<bool()> ready)
     : loop_(loop),
       took_(std::move(took)),
       ready_(std::move(ready)),
-      descriptors_(descriptors),
+      most_(connectionsAtMost),
       server_(evhttp_new(loop.base())),
-      accept_(loop,
-              [this] {
-                  if (listener_) evconnlistener_enable(listener_);
-              }),
-      idle_(loop, [this] { closeIdle(); }) {
+      look_(loop, [this] { look(); }) {
     if (!server_) throw std::runtime_error("cannot make a server");
     evhttp_set_max_body_size(server_.get(), longestBody);
-    evhttp_set_max_headers_size(server_.get(), longestBody);
+    evhttp_set_max_headers_size(server_.get(), longestHead);
     evhttp_set_allowed_methods(server_.get(), everyMethod);
     evhttp_set_gencb(
         server_.get(),
@@ -83,6 +87,17 @@
             guarded([&] { static_cast<Front*>(self)->request(request); });
         },
         this);
+    evhttp_set_bevcb(
+        server_.get(),
+        [](event_base* base, void* context) {
+            auto* stream = bufferevent_socket_new(base, -1, 0);
+            auto& self = *static_cast<Front*>(context);
+            if (!stream) return stream;
+            bufferevent_incref(stream);
+            guarded([&] { self.loop_.later([&self, stream] { self.joined(stream); }); });
+            return stream;
+        },
+        this);
     sockaddr_in where{};
     where.sin_family = AF_INET;
     where.sin_port = htons(listen.port);
@@ -95,13 +110,14 @@
     const int on = 1;  // accepted connections inherit it
     setsockopt(evconnlistener_get_fd(listener_), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     evhttp_bind_listener(server_.get(), listener_);
-    // Guards against a loop that spins on accept() while descriptors have run out.
-    evconnlistener_set_error_cb(listener_, [](evconnlistener* listener, void* self) {
+    // Guards against a loop that spins on accept() while descriptors have run out; look() lets it accept
+    // again. The listener is evhttp's, and so is what this is called with: it is no Front.
+    evconnlistener_set_error_cb(listener_, [](evconnlistener* listener, void*) {
         evconnlistener_disable(listener);
-        static_cast<Front*>(self)->accept_.in(acceptAgain);
         guarded(
             [] { log(Kind::overload, "cannot accept a connection: " + std::string(std::strerror(errno))); });
     });
+    look_.in(lookEvery);
 }
 
 Front::~Front() {
@@ -121,35 +137,92 @@
     return {host, ntohs(where.sin_port)};
 }
 
+// evhttp has just accepted a connection, which it tells nobody; it is the argument of its own callbacks.
+void Front::joined(bufferevent* stream) {
+    void* context = nullptr;
+    bufferevent_getcb(stream, nullptr, nullptr, nullptr, &context);
+    const bool freed = bufferevent_decref(stream);
+    auto* connection = static_cast<evhttp_connection*>(context);
+    if (freed || !connection) return;
+    if (clients_.size() >= most_ && !makeRoom()) {
+        log(Kind::overload, std::to_string(clients_.size()) + " connections of clients: no more are taken");
+        return evhttp_connection_free(connection);
+    }
+    const auto at = clients_.insert(clients_.end(), {*this, connection, loop_.now()});
+    found_.emplace(connection, at);
+    evbuffer_add_cb(bufferevent_get_input(stream), came, &*at);
+    evhttp_connection_set_closecb(
+        connection,
+        [](evhttp_connection*, void* context) {
+            auto& client = *static_cast<Client*>(context);
+            guarded([&] { client.front.gone(client); });
+        },
+        &*at);
+}
+
 void Front::request(evhttp_request* request) {
     auto caller = std::make_unique<Caller>(*this, request);
-    auto* connection = caller->connection_;
-    if (connection) {
-        auto& client = this->client(connection);
+    if (caller->connection_) {
+        auto& client = *held(caller->connection_);
         client.caller = caller.get();
         client.reading = false;
+        marks(client);
         watchForLeaving(client);
     }
-    if (!evhttp_request_get_uri(request)) return caller->answer(400);  // broken HTTP
-    const auto* uri = evhttp_request_get_evhttp_uri(request);
-    const auto* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    if (!readable(request)) return caller->refuse(400);
+    const auto* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
     if (path && std::string_view(path) == paths::ready)
         return caller->answer(ready_() && !closing_ ? 200 : 503);
     took_(std::move(caller));
 }
 
-Front::Client& Front::client(evhttp_connection* connection) {
-    auto [held, fresh] = found_.try_emplace(connection);
-    if (fresh) {
-        held->second = clients_.insert(clients_.end(), {*this, connection});
-        auto* stream = evhttp_connection_get_bufferevent(connection);
-        evbuffer_add_cb(bufferevent_get_input(stream), came, &*held->second);
+// What evhttp lets pass, though it can be read in two ways: two lengths, a length and chunks (the body may
+// hide another request), a body where the method has none, names and values that no pod could read.
+bool Front::readable(evhttp_request* request) {
+    const auto* uri = evhttp_request_get_uri(request);
+    if (!uri || *uri != '/' || !evhttp_request_get_evhttp_uri(request)) return false;  // broken HTTP
+    for (const auto* letter = uri; *letter; ++letter)
+        if (*letter <= ' ' || *letter == 127) return false;
+    int framings = 0;
+    const auto same = [](const evkeyval& one, const char* name) {
+        return evutil_ascii_strcasecmp(one.key, name) == 0;
+    };
+    const auto* headers = evhttp_request_get_input_headers(request);
+    for (const auto* one = headers->tqh_first; one; one = one->next.tqe_next) {
+        if (!readableName(one->key) || !readableValue(one->value)) return false;
+        for (const auto* other = one->next.tqe_next; other; other = other->next.tqe_next)
+            if (same(*one, other->key) && meantOnce(one->key)) return false;
+        const bool length = same(*one, "Content-Length"), chunks = same(*one, "Transfer-Encoding");
+        framings += length || chunks;
+        if (length && !readableLength(one->value)) return false;
+        if (chunks && evutil_ascii_strcasecmp(one->value, "chunked") != 0) return false;
     }
-    return *held->second;
+    const bool bodiless = evhttp_request_get_command(request) != EVHTTP_REQ_POST;
+    const auto* length = evhttp_find_header(headers, "Content-Length");
+    return framings == 0 || (framings == 1 && (!bodiless || (length && std::string_view(length) == "0")));
+}
+
+Front::Clients::iterator Front::held(evhttp_connection* connection) { return found_.at(connection); }
+
+void Front::answered(Client& client) {
+    auto* stream = evhttp_connection_get_bufferevent(client.connection);
+    client.caller = nullptr;
+    client.reading = evbuffer_get_length(bufferevent_get_input(stream)) > 0;
+    bufferevent_setwatermark(stream, EV_READ, 0, 0);
+    marks(client);
+}
+
+void Front::marks(Client& client) {
+    client.since = loop_.now();
+    clients_.splice(clients_.end(), clients_, held(client.connection));
 }
 
 void Front::came(evbuffer*, const evbuffer_cb_info* info, void* client) {
-    if (info->n_added > 0) static_cast<Client*>(client)->reading = true;
+    auto& from = *static_cast<Client*>(client);
+    if (info->n_added == 0 || from.reading) return;
+    from.reading = true;
+    // Its time to send a request counts from its first byte, but the first one's from the connection's start.
+    if (!std::exchange(from.silent, false) && !from.caller) from.front.marks(from);
 }
 
 // While a hit is open its connection is still read, so that a client's leaving is seen; evhttp's own reader
@@ -161,15 +234,8 @@
     void* context = nullptr;
     bufferevent_getcb(stream, nullptr, &write, &happened, &context);
     bufferevent_setcb(stream, nullptr, write, happened, context);
-    bufferevent_setwatermark(stream, EV_READ, 0, 2 * longestBody);
+    bufferevent_setwatermark(stream, EV_READ, 0, aheadAtMost);
     bufferevent_enable(stream, EV_READ);
-    evhttp_connection_set_closecb(
-        client.connection,
-        [](evhttp_connection*, void* context) {
-            auto& client = *static_cast<Client*>(context);
-            guarded([&] { client.front.gone(client); });
-        },
-        &client);
 }
 
 void Front::gone(Client& client) {
@@ -182,31 +248,43 @@
     if (caller) caller->left();
 }
 
-void Front::closeAfterAnswers() {
-    closing_ = true;
-    closeIdle();
+void Front::closeAfterAnswers() { closing_ = true; }
+
+// Between hits, with nothing unread on it, nor part of a hit read by evhttp: what a client is writing may be
+// whole by the time a close reaches it.
+bool Front::idle(const Client& client) const {
+    auto* stream = evhttp_connection_get_bufferevent(client.connection);
+    int unread = 0;
+    return !client.caller && !client.reading && ioctl(bufferevent_getfd(stream), FIONREAD, &unread) == 0 &&
+           unread == 0 && evbuffer_get_length(bufferevent_get_output(stream)) == 0;
 }
 
-// A connection between hits is closed only if nothing lies unread on it, nor part of a hit read by evhttp:
-// what a client is writing may be whole by the time the close reaches it.
-void Front::closeIdle() {
-    std::vector<evhttp_connection*> idle;
-    for (auto& client : clients_) {
-        auto* stream = evhttp_connection_get_bufferevent(client.connection);
-        int unread = 0;
-        if (client.caller || client.reading || ioctl(bufferevent_getfd(stream), FIONREAD, &unread) != 0 ||
-            unread > 0)
-            continue;
-        if (evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
-            evbuffer_get_length(bufferevent_get_output(stream)) == 0)
-            idle.push_back(client.connection);
-    }
-    for (auto* connection : idle) evhttp_connection_free(connection);
-    idle_.in(lookAtIdle);
+// For a new connection one makes room that nobody misses: first the longest silent of those that have never
+// said a word, then the longest idle. Guards against clients that connect and say nothing, and against those
+// that ask once and stay. Harm: a client that comes back later connects anew.
+bool Front::makeRoom() {
+    const auto now = loop_.now();
+    auto pick = std::find_if(clients_.begin(), clients_.end(), [&](auto& client) {
+        return client.silent && now - client.since > silentSoon && idle(client);
+    });
+    if (pick == clients_.end())
+        pick = std::find_if(clients_.begin(), clients_.end(), [&](auto& client) { return idle(client); });
+    if (pick == clients_.end()) return false;
+    evhttp_connection_free(pick->connection);
+    return true;
 }
 
-void Front::closeDoor() {
-    if (listener_) evconnlistener_disable(listener_);
+void Front::look() {
+    look_.in(lookEvery);
+    evconnlistener_enable(listener_);
+    const auto now = loop_.now();
+    std::vector<evhttp_connection*> over;
+    for (auto& client : clients_) {
+        const bool unfinished = !client.caller && (client.silent || client.reading);
+        if ((unfinished && now - client.since > wholeWithin) || (closing_ && idle(client)))
+            over.push_back(client.connection);
+    }
+    for (auto* connection : over) evhttp_connection_free(connection);
 }
 
 bool Front::anyWaiting() const {
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -1,4 +1,5 @@
-// The side that clients see: an evhttp server, and one Caller for each request that has come in whole.
+// The side that clients see: an evhttp server, and one Caller for each request that has come in whole. Each
+// connection is followed from its first byte or silence on, so that no client can hold more than its part.
 #pragma once
 
 #include <list>
@@ -27,6 +28,7 @@
 
     // Sent at once; what comes after the first answer is dropped. retryAfter 0: no advice.
     void answer(int code, const std::string& body = {}, const std::string& type = {}, Nanos retryAfter = 0);
+    void refuse(int code);  // the same, and the connection ends: what follows on it cannot be trusted
 
   private:
     friend class Front;
@@ -37,7 +39,7 @@
     evhttp_connection* connection_;
     std::string body_;
     std::function<void()> gone_;
-    bool answered_ = false;
+    bool answered_ = false, last_ = false;
 };
 
 class Front {
@@ -45,41 +47,50 @@
     using Took = std::function<void(std::unique_ptr<Caller>)>;
 
     // Throws if it cannot listen. Requests for readiness are answered here.
-    Front(Loop& loop, const Address& listen, int descriptors, Took took, std::function<bool()> ready);
+    Front(Loop& loop, const Address& listen, std::size_t connectionsAtMost, Took took,
+          std::function<bool()> ready);
     ~Front();
 
     void closeAfterAnswers();  // each connection gets one answer more, and idle ones are closed
-    void closeDoor();          // no new connections
     bool anyWaiting() const;   // a connection that nobody has accepted yet
     Address address() const;
+    std::size_t open() const { return clients_.size(); }
 
   private:
     friend class Caller;
     struct Client {
         Front& front;
         evhttp_connection* connection;
+        Nanos since;               // when it began what it does now: to be silent, to send, to idle
         Caller* caller = nullptr;  // whose request is on it now
         bool reading = false;      // part of a next request may have come
+        bool silent = true;        // nothing has ever come
     };
+    using Clients = std::list<Client>;
 
+    void joined(bufferevent* stream);
+    void answered(Client& client);  // and awaited again
     void request(evhttp_request* request);
-    Client& client(evhttp_connection* connection);
+    static bool readable(evhttp_request* request);
+    Clients::iterator held(evhttp_connection* connection);
+    void marks(Client& client);  // that it does another thing from now on
     void watchForLeaving(Client& client);
     void gone(Client& client);
     static void came(evbuffer* input, const evbuffer_cb_info* info, void* client);
-    void closeIdle();
+    bool idle(const Client& client) const;
+    bool makeRoom();
+    void look();
 
     Loop& loop_;
     Took took_;
     std::function<bool()> ready_;
-    int descriptors_;
+    std::size_t most_;
     bool closing_ = false;
     Owned<evhttp> server_;
     evconnlistener* listener_ = nullptr;  // the server's
-    Timer accept_, idle_;
-    // Connections that have carried a request, in the order of their first one.
-    std::list<Client> clients_;
-    std::unordered_map<evhttp_connection*, std::list<Client>::iterator> found_;  // looked up, never walked
+    Timer look_;
+    Clients clients_;  // the one that has done the same for longest first
+    std::unordered_map<evhttp_connection*, Clients::iterator> found_;  // looked up, never walked
 };
 
 }  // namespace lichenlanding::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -23,6 +23,7 @@
     void operator()(evhttp_connection* held) const { evhttp_connection_free(held); }
     void operator()(evhttp_request* held) const { evhttp_request_free(held); }
     void operator()(evbuffer* held) const { evbuffer_free(held); }
+    void operator()(bufferevent* held) const { bufferevent_free(held); }
 };
 template <typename T>
 using Owned = std::unique_ptr<T, Release>;
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -1,5 +1,8 @@
 #include "net/messages.hpp"
 
+#include <strings.h>
+
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -131,6 +134,15 @@
 
 }  // namespace
 
+bool meantOnce(std::string_view header) {
+    static constexpr std::string_view once[] = {headers::id,   headers::group,   headers::budget,
+                                                headers::mark, "Content-Length", "Transfer-Encoding",
+                                                "Host"};
+    return std::any_of(std::begin(once), std::end(once), [&](auto name) {
+        return name.size() == header.size() && strncasecmp(name.data(), header.data(), name.size()) == 0;
+    });
+}
+
 std::optional<Nanos> readBudget(std::string_view text) {
     if (text.empty()) return {};
     const double unit = text.back() == 'm' ? 1e6 : text.back() == 'u' ? 1e3 : 0;
--- a/src/net/passage.cpp
+++ b/src/net/passage.cpp
@@ -34,7 +34,7 @@
 Task Passage::life() {
     if (const int code = refusal()) {
         log(Kind::client, "answered " + std::to_string(code) + " to what cannot be a hit");
-        caller_->answer(code);
+        caller_->refuse(code);
         host_.passed(*this);
         co_return;
     }
@@ -72,6 +72,7 @@
     if (caller_->method() != (repeatable ? EVHTTP_REQ_GET : EVHTTP_REQ_POST)) return 405;
     mark_ = caller_->header(headers::mark).value_or("");
     if (hit_.group->effect == Effect::tagged && mark_.empty()) return 400;
+    if (!host_.opens(*id)) return 409;  // another client's, and open
     hit_.id = *id;
     hit_.key = caller_->header(headers::key).value_or("");
     // The answer is to leave before the client's wait is over: one grain of the deployment's clock before,
--- a/src/net/passage.hpp
+++ b/src/net/passage.hpp
@@ -15,6 +15,7 @@
     virtual Nanos now() const = 0;
     virtual void decide(const std::function<void(Balance&)>& call) = 0;  // the one way to the decisions
     virtual Upstream& upstream() = 0;
+    virtual bool opens(const std::string& id) = 0;    // false: a hit of that id is open
     virtual void left() = 0;                          // a client left before its answer
     virtual void passed(class Passage& passage) = 0;  // its life is over; it is freed later
 };
@@ -24,6 +25,7 @@
     Passage(Host& host, const Settings& settings, std::unique_ptr<Caller> caller);
 
     void start() { life_ = life(); }
+    const std::string& id() const { return hit_.id; }  // empty if it could not be a hit
 
     // What the decisions ask for, carried out after their call has returned.
     void forwardNewest(Nanos timeout) { next_ = timeout; }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -9,8 +9,13 @@
 constexpr Nanos newcomersFor = 600'000'000;
 constexpr Nanos leaveLook = 10'000'000;
 
-// Half of the descriptors are for pods; the rest are for clients, and few for the other parties.
-int podConnections(int descriptors) { return std::max(descriptors / 2 - 32, 1); }
+// Of the descriptors few are for the other parties; the rest are shared by pods' connections and clients'.
+constexpr int otherDescriptors = 32;
+int podConnections(int descriptors) { return std::max(descriptors / 2 - otherDescriptors, 1); }
+std::size_t clientConnections(int descriptors) {
+    return static_cast<std::size_t>(
+        std::max(descriptors - podConnections(descriptors) - otherDescriptors, 1));
+}
 
 }  // namespace
 
@@ -43,7 +48,7 @@
                  decide([&](Balance& balance) { balance.heard(peer, bytes); });
              }),
       front_(
-          loop_, config_.listen, config_.sockets,
+          loop_, config_.listen, clientConnections(config_.sockets),
           [this](std::unique_ptr<Caller> caller) { took(std::move(caller)); },
           [this] {
               if (discovery_.any() && !std::exchange(ready_, true)) log(Kind::ready, config_.name);
@@ -125,12 +130,20 @@
 }
 
 void Sidecar::passed(Passage& passage) {
+    if (!passage.id().empty()) open_.erase(passage.id());
     loop_.later([this, &passage] {
         passages_.remove_if([&](auto& held) { return held.get() == &passage; });
         if (stopped_ >= 0) leaveIfDone();
     });
 }
 
+void Sidecar::reload(const Config& config) {
+    log(Kind::start,
+        "reloads: discovery " + config.discovery.text() + ", platform " + config.platform.text());
+    discovery_.move(config.discovery);
+    desk_.move(config.platform);
+}
+
 void Sidecar::stop() {
     if (stopped_ >= 0) return;
     stopped_ = loop_.now();
@@ -139,11 +152,12 @@
     leave_.in(newcomersFor);
 }
 
-// What a client has written is taken for as long as new connections may come, and what is taken is answered.
+// What a client has written is taken for as long as new connections may come, and what is taken is answered:
+// the end waits until the last answer is written, and the last half of a request is whole or out of time.
 void Sidecar::leaveIfDone() {
     if (loop_.now() - stopped_ < newcomersFor) return;
     leave_.in(leaveLook);
-    if (front_.anyWaiting() || !passages_.empty()) return;
+    if (front_.anyWaiting() || front_.open() > 0 || !passages_.empty()) return;
     log(Kind::stop, "all hits answered");
     loop_.stop();
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -3,6 +3,7 @@
 
 #include <list>
 #include <optional>
+#include <unordered_set>
 
 #include "balance.hpp"
 #include "net/config.hpp"
@@ -20,7 +21,9 @@
     explicit Sidecar(const Config& config);  // listens; throws if it cannot
     ~Sidecar() override;
 
-    void run();   // until stop() has come to its end
+    void run();  // until stop() has come to its end
+    // Takes discovery's and the platform's address from it; what is under way goes on.
+    void reload(const Config& config);
     void stop();  // no longer ready; returns from run() once what was taken is answered
     Loop& loop() { return loop_; }
     Address address() const { return front_.address(); }
@@ -39,6 +42,7 @@
     void listen() override {}  // the list and its changes come by themselves
 
     Nanos now() const override { return loop_.now(); }
+    bool opens(const std::string& id) override { return open_.insert(id).second; }
     void left() override { ++gone_; }
     void decide(const std::function<void(Balance&)>& call) override;
     Upstream& upstream() override { return upstream_; }
@@ -59,7 +63,8 @@
     bool deciding_ = false;
     std::vector<std::function<void()>> asked_;  // by the decisions, during their call
     std::list<std::unique_ptr<Passage>> passages_;
-    bool ready_ = false;  // and the log knows
+    std::unordered_set<std::string> open_;  // ids of hits; looked up, never walked
+    bool ready_ = false;                    // and the log knows
     std::size_t gone_ = 0;
     Nanos stopped_ = -1;
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -37,6 +37,14 @@
         [this](const Return& back) { ended(back); }, [this](std::string_view bytes) { came(bytes); });
 }
 
+void Stream::move(const Address& address) {
+    again("its address is another");
+    address_ = address;
+    wait_ = firstWait;
+    reopen_.stop();
+    open();
+}
+
 // An answer that has come whole ends its last line, too.
 void Stream::ended(const Return& back) {
     if (back.ending == Ending::answered && !partial_.empty()) came("\n");
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -17,6 +17,7 @@
            std::uint32_t seed, Path path, Each each);
 
     void open();
+    void move(const Address& address);  // opened there at once
 
   private:
     void came(std::string_view bytes);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -47,8 +47,12 @@
 }
 
 Line* Upstream::take(Place& place) {
-    if (!place.kept.empty()) {
+    while (!place.kept.empty()) {
         auto* line = place.kept.back();
+        if (!line->connection.quiet()) {
+            drop(*line);
+            continue;
+        }
         place.kept.pop_back();
         used_.splice(used_.end(), idle_, line->at);
         line->idle.stop();
@@ -69,7 +73,7 @@
         return nullptr;
     }
     line->connection.call(call, connectWithin_, within, [this, line, done = std::move(done)](Return back) {
-        keep(*line, back.code != 0);
+        keep(*line, back.code != 0 || back.ending == Ending::garbled);
         done(std::move(back));
     });
     return line;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -233,9 +233,9 @@
         {{EVHTTP_REQ_GET, "/order", whole, ""}, 405},
         {{EVHTTP_REQ_DELETE, "/order", whole, ""}, 405},
         {{EVHTTP_REQ_POST, "/order", whole, "x"}, 200}};
-    Connection client(town.loop, town.sidecar->address(), longestBody);  // the same one all along
     for (const auto& [call, code] : cases) {
         std::optional<Return> back;
+        Connection client(town.loop, town.sidecar->address(), longestBody);
         client.call(call, 5000 * ms, 0, [&](Return came) { back = std::move(came); });
         town.until([&] { return back.has_value(); });
         CHECK(back->code == code);
@@ -322,14 +322,17 @@
     town.serve = [](StandIn& at, evhttp_request* call) { at.answer(call, 200, "x"); };
     for (auto& pod : town.pods) pod->closeAll();
     RawClient first(town.sidecar->address()), second(town.sidecar->address());
-    const auto full = rlimit{static_cast<rlim_t>(second.descriptor() + 1), before.rlim_max};
+    const int lowestFree = dup(first.descriptor());
+    close(lowestFree);
+    const auto full = rlimit{static_cast<rlim_t>(lowestFree), before.rlim_max};
     setrlimit(RLIMIT_NOFILE, &full);
-    const char* get =
-        "GET /read HTTP/1.1\r\nHost: h\r\nX-Call-Id: c\r\nX-Call-Class: read\r\nX-Budget: 20000m\r\n\r\n";
-    first.say(get);
+    const std::string get =
+        "GET /read HTTP/1.1\r\nHost: h\r\nX-Call-Class: read\r\nX-Budget: 20000m\r\nX-Call-Id: ";
+    first.say(get + "c-8\r\n\r\n");
     for (int turn = 0; turn < 200; ++turn) town.turn();
+    CHECK(first.read().empty());  // not accepted, and the listener rests
     setrlimit(RLIMIT_NOFILE, &before);
-    second.say(get);
+    second.say(get + "c-9\r\n\r\n");
     town.until([&] { return second.read().find("200 OK") != std::string::npos; });
     town.until([&] { return !first.read().empty(); });
 }
