--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -162,14 +162,18 @@
 
 void Front::request(evhttp_request* request) {
     auto caller = std::make_unique<Caller>(*this, request);
+    bool whole = readable(request);
     if (caller->connection_) {
         auto& client = *held(caller->connection_);
+        auto* stream = evhttp_connection_get_bufferevent(client.connection);
+        // A client sends one request at a time: what lies behind it belongs to it, and its length is wrong.
+        whole = whole && evbuffer_get_length(bufferevent_get_input(stream)) == 0;
         client.caller = caller.get();
         client.reading = false;
         marks(client);
         watchForLeaving(client);
     }
-    if (!readable(request)) return caller->refuse(400);
+    if (!whole) return caller->refuse(400);
     const auto* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
     if (path && std::string_view(path) == paths::ready)
         return caller->answer(ready_() && !closing_ ? 200 : 503);
