--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -89,6 +89,78 @@
     matchesTrace("endings", tape.str());
 }
 
+// evhttp's client took the end of the connection for the end of a body, the first of two lengths, and what
+// followed a 103 for the next call's answer: clients were served what no pod had made for them.
+TEST_CASE("an answer is whole and fits, or it is spoilt") {
+    const std::string ok = "HTTP/1.1 200 OK\r\n", body = "Content-Length: 4\r\n\r\nbody";
+    const std::pair<const char*, std::string> answers[] = {
+        {"a length", ok + body},
+        {"chunks, an extension, a trailer",
+         ok + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nX-T: 1\r\n\r\n"},
+        {"1xx ahead",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok + body},
+        {"204, no length", "HTTP/1.1 204 No Content\r\n\r\n"},
+        {"a second copy behind", ok + body + ok + body},
+        {"noise behind", ok + body + "\x01\xfe noise"},
+        {"a report that cannot be read", ok + "X-Load-Report: inflight=-,,=\r\n" + body},
+        {"two lengths", ok + "Content-Length: 4\r\n" + body},
+        {"a length and chunks", ok + "Transfer-Encoding: chunked\r\n" + body},
+        {"no length, and the end", ok + "\r\nbody"},
+        {"a length below zero", ok + "Content-Length: -4\r\n\r\nbody"},
+        {"a length of words", ok + "Content-Length: four\r\n\r\nbody"},
+        {"a length of 3 GB", ok + "Content-Length: 3000000000\r\n\r\nbody"},
+        {"chunks of no size", ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n"},
+        {"a chunk of 3 GB", ok + "Transfer-Encoding: chunked\r\n\r\nB2D05E00\r\nbody"},
+        {"chunks that do not end where they say",
+         ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n"},
+        {"another coding", ok + "Transfer-Encoding: gzip\r\n\r\nbody"},
+        {"a line that is no header", ok + "what\r\n" + body},
+        {"noise in a header", ok + "X-\x01: \x02\r\n" + body},
+        {"no code", "HTTP/1.1 OK\r\n" + body},
+        {"another protocol", "HTTP/7.1 200 OK\r\n" + body},
+        {"a head without end", ok + "X-A: " + std::string(20000, 'a')},
+        {"1xx without end", ok.substr(0, 9) + "103 Early\r\nX-A: " + std::string(9000, 'a') +
+                                "\r\n\r\nHTTP/1.1 103 Early\r\nX-A: " + std::string(9000, 'a')}};
+    std::stringstream tape;
+    for (const auto& [what, bytes] : answers) {
+        const auto serve = [&bytes = bytes](StandIn& at, evhttp_request* call) {
+            at.hold(call), at.raw(call, bytes);
+        };
+        tape << what << ": " << endingOf(serve) << '\n';
+    }
+    matchesTrace("spoilt", tape.str());
+}
+
+// Days of bad pods: the copy behind an answer was given to the next client.
+TEST_CASE("a connection on which more has come than belongs to it is not used again") {
+    Town town;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    bool later = false;
+    StandIn pod(town.loop, [&](auto& at, auto* call) {
+        at.hold(call);
+        at.raw(call, answer + (at.seen.size() == 1 ? later ? "one" : "one" + answer + "one" : "two"));
+    });
+    Upstream upstream(town.loop, 5000 * ms, 60000 * ms, 4);
+    auto& place = upstream.place("s-1");
+    upstream.moved(place, pod.address);
+    std::string bodies;
+    const auto send = [&] {
+        const auto before = bodies.size();
+        upstream.send(place, {EVHTTP_REQ_GET, "/read", {{"Host", "h"}}, {}}, 0,
+                      [&](Return back) { bodies += back.body; });
+        town.until([&] { return bodies.size() > before; });
+    };
+    SUBCASE("behind the answer") { send(); }
+    SUBCASE("while it idles, seen by the loop or not yet") {
+        later = true;
+        send();
+        CHECK(place.kept.size() == 1);
+        pod.raw(pod.held[0], answer + "one");
+    }
+    send();
+    CHECK(bodies == "onetwo");
+}
+
 TEST_CASE("connections to a pod are kept, the last used taken first, and closed when idle or moved") {
     Town town;
     StandIn pod(town.loop, [](auto& at, auto* call) { at.hold(call); });
@@ -247,6 +319,93 @@
     CHECK(town.forwards == 1);
 }
 
+// Days of bad clients. What is refused ends its connection: what follows on it may be a request that its body
+// hid.
+TEST_CASE("a request that can be read in two ways, or not at all, is refused and its connection ends") {
+    Town town;
+    town.start(1);
+    const std::string
+        get = "GET /read HTTP/1.1\r\nHost: h\r\nX-Call-Id: c\r\nX-Call-Class: read\r\nX-Budget: 9000m\r\n",
+        post =
+            "POST /order HTTP/1.1\r\nHost: h\r\nX-Call-Id: c\r\nX-Call-Class: order\r\nX-Budget: 9000m\r\n"
+            "Idempotency-Key: k\r\n",
+        hidden = get + "\r\n";
+    const std::pair<const char*, std::string> requests[] = {
+        {"two framings", post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden},
+        {"two lengths", post + "Content-Length: 0\r\nContent-Length: 90\r\n\r\n" + hidden},
+        {"a length below zero", post + "Content-Length: -5\r\n\r\nhello"},
+        {"a signed length", post + "Content-Length: +5\r\n\r\nhello"},
+        {"a huge length", post + "Content-Length: 99999999999999999999\r\n\r\nhello"},
+        {"a body too long", post + "Content-Length: 60000000\r\n\r\nhello"},
+        {"a length too short", post + "Content-Length: 2\r\n\r\nhello"},
+        {"another coding", post + "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n"},
+        {"a body where none can be", get + "Content-Length: 90\r\n\r\n" + hidden},
+        {"two ids", get + "X-Call-Id: d\r\n\r\n"},
+        {"a name with a blank", get + "Transfer-Encoding : chunked\r\n\r\n"},
+        {"noise in a value", get + "Idempotency-Key: \x01\x02\r\n\r\n"},
+        {"a head without end", get + "X-A: " + std::string(80000, 'a')},
+        {"no HTTP", "\xfe\x01\x02\r\n\r\n"}};
+    for (const auto& [what, bytes] : requests) {
+        RawClient client(town.sidecar->address());
+        client.say(bytes);
+        town.until([&] { return client.closed(); });
+        town.tape << what << ": " << client.read().substr(0, client.read().find('\r')) << ", forwards "
+                  << town.forwards << '\n';
+    }
+    matchesTrace("refused", town.tape.str());
+}
+
+TEST_CASE("an id is one open hit's: a second one is refused until that has ended") {
+    Town town;
+    town.serve = [](StandIn& at, evhttp_request* call) { at.hold(call); };
+    town.start(1);
+    const std::string get =
+        "GET /read HTTP/1.1\r\nHost: h\r\nX-Call-Class: read\r\nX-Budget: 20000m\r\nX-Call-Id: c-1\r\n\r\n";
+    for (int turn = 1; turn <= 2; ++turn) {
+        RawClient first(town.sidecar->address()), second(town.sidecar->address());
+        first.say(get);
+        town.until([&] { return town.pods[0]->held.size() == 1; });
+        second.say(get);
+        town.until([&] { return second.closed(); });
+        CHECK(second.read().starts_with("HTTP/1.1 409"));
+        town.pods[0]->answerHeld(200, "mine");
+        town.until([&] { return first.read().ends_with("mine"); });
+        town.until([&] { return town.sidecar->open() == 0; });
+        CHECK(town.forwards == turn);
+    }
+}
+
+// The churn day: clients that asked once and stayed took all descriptors, and the process ended on it.
+TEST_CASE("silent clients and idle ones make room for new ones, and nobody may take for ever to ask") {
+    Town town;
+    town.start(1, 72);  // 36 connections of clients
+    std::vector<std::unique_ptr<RawClient>> others;
+    const auto crowd = [&](const std::string& bytes) {
+        others.clear();
+        for (int turn = 0; turn < 50; ++turn) {
+            others.push_back(std::make_unique<RawClient>(town.sidecar->address()));
+            if (!bytes.empty()) others.back()->say(bytes);
+            for (int pass = 0; pass < 3; ++pass) town.turn();
+        }
+        auto back = town.ask("read");
+        town.until([&] { return back->has_value(); });
+        CHECK((*back)->code == 200);
+    };
+    SUBCASE("silent") { crowd(""); }
+    SUBCASE("asked once") { crowd("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); }
+    SUBCASE("half a request") {
+        others.push_back(std::make_unique<RawClient>(town.sidecar->address()));
+        others.back()->say("GET /read HTTP/1.1\r\nHo");
+        auto back = town.ask("read");
+        town.until([&] { return back->has_value(); });
+    }
+    town.until([&] {
+        return std::all_of(others.begin(), others.end(), [](auto& one) {
+            return one->closed() || one->read().starts_with("HTTP/1.1 200");
+        });
+    });
+}
+
 TEST_CASE("broken HTTP and a client that does not wait for its answer do no harm") {
     Town town;
     town.serve = [](StandIn& at, evhttp_request* call) { at.hold(call); };
@@ -510,6 +669,28 @@
     CHECK(heard == std::vector<std::string>{"0>1 256", "1>0 4"});
 }
 
+// The reload days: SIGHUP ended the process.
+TEST_CASE("a new configuration: discovery and platform are asked at their new addresses, hits go on") {
+    Town town;
+    town.serve = [](StandIn& at, evhttp_request* call) { at.hold(call); };
+    town.start(1);
+    auto back = town.ask("certify");
+    town.until([&] { return town.pods[0]->held.size() == 1 && town.registry->held.size() == 1; });
+    StandIn registry(town.loop, [&](auto& at, auto* call) { at.hold(call); });
+    StandIn platform(town.loop, [&](auto& at, auto* call) { at.hold(call); });
+    Config config;
+    config.discovery = registry.address, config.platform = platform.address;
+    town.sidecar->reload(config);
+    town.sidecar->reload(config);  // twice in a row
+    town.until([&] { return !registry.held.empty() && !platform.held.empty(); });
+    CHECK(registry.seen.back() == "/registry/instances");  // whole, not what changed since another's revision
+    CHECK(platform.seen.back() == paths::news);
+    town.until([&] { return town.registry->closed == 1 && town.platform->closed == 1; });
+    town.pods[0]->answerHeld(200, "x");
+    town.until([&] { return back->has_value(); });
+    CHECK((*back)->code == 200);
+}
+
 TEST_CASE("a stop: not ready, what is taken is answered, connections end with their answers") {
     Town town;
     town.serve = [](StandIn& at, evhttp_request* call) { at.hold(call); };
@@ -536,8 +717,9 @@
     slow.say("c-3\r\n\r\n");
     town.until([&] { return town.pods[0]->held.size() == 2; });
     CHECK(ready() == 503);
-    RawClient newcomer(town.sidecar->address());
+    RawClient newcomer(town.sidecar->address()), late(town.sidecar->address());
     newcomer.say(get + "c-2\r\n\r\n");
+    late.say(get);
     town.until([&] { return town.pods[0]->held.size() == 3; });
     CHECK(!town.sidecar->loop().stopped());
     town.pods[0]->answerHeld(200, "in time");
@@ -546,7 +728,14 @@
         CHECK(client->read().find("Connection: close") != std::string::npos);
         CHECK(client->read().find("in time") != std::string::npos);
     }
+    const auto past = town.loop.now() + 700 * ms;  // newcomers are over
+    town.until([&] { return town.loop.now() > past; });
+    CHECK(!town.sidecar->loop().stopped());
+    late.say("c-4\r\n\r\n");
+    town.until([&] { return town.pods[0]->held.size() == 1; });
+    town.pods[0]->answerHeld(200, std::string(longestBody, 'z'));
     town.until([&] { return town.sidecar->loop().stopped(); });
+    CHECK(late.read().ends_with("zzz"));
 }
 
 // Seen on the first days on sockets: after a turn that took long, the decisions' tick came early and was the
