A slow earlier build holds no better one; a wreck after release is sent back

Checked by a trace of every forward, of the voters' counts and of admission: the earlier build (885, then 891) turns bad 15 s after its release, 13 to 15% errors and four times the latency; the next one, beside it, errs 1%. verdictNow() abstained while all was slower than before, so the good one waited 8 and 11 s in its first stage. Ruled out: admission (at 3 hits a pod 342 hits a second pass, whatever is let in), pods left out, memory and descriptors (flat at 1 MB and 220).

Changed: while all is slower, a build that surely ranks above 0.55 against the earlier one beside it is not held. After release 'back' comes if half of all hits more than before are late or kept out for two poolings. A pod that comes back with another build starts unknown, and its connections are dropped.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -22,27 +22,26 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr Nanos tickEvery = 250 * ms;    // how often votes and timers are looked at
-constexpr Nanos poolEvery = 2 * second;  // new counts go to the voters
-constexpr Nanos judgeAtMost = 500 * ms;  // voters draw no more often than this
-constexpr Nanos skipFirst = 2 * second;  // after a pod's start nothing counts
+constexpr Nanos tickEvery = 250 * ms;     // how often votes and timers are looked at
+constexpr Nanos poolEvery = 2 * second;   // new counts go to the voters
+constexpr Nanos judgeAtMost = 500 * ms;   // voters draw no more often than this
+constexpr Nanos skipAtMost = 2 * second;  // after a pod's start nothing counts, nor while it is cold
 constexpr Nanos undecidedFor = 1500 * ms;
 constexpr int voterCount = 3;
 constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
-constexpr double onBar = 0.4, backBar = 0.38, sure = 0.95, certain = 0.99;
+constexpr double onBar = 0.4, aheadBar = 0.55, backBar = 0.38, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
 constexpr std::uint32_t calmHalveAt = 60;  // in one bin, of the record of the time before a build
 constexpr double besidePart = 0.5;  // of the new build's recent outcomes, that the earlier ones still have
 constexpr double halveAt = 800;  // outcomes of a path group and side that a voter keeps before it halves them
 // Exceptions' bars: shares by which the new build may be late, err or be flagged more often than the earlier.
 constexpr double lateMargin = 0.1, errorMargin = 0.006, flagMargin = 0.004;
-constexpr Nanos longSpell = 5 * poolEvery;  // slower for so long with other causes: those are it
-constexpr Nanos slowSpell = 2 * poolEvery;  // slower for so long with no other cause: the build's doing
-constexpr double demandRise = 1.4;          // first tries against the time before: a burst
-constexpr int demandSeconds = 3;            // over which they are counted
-constexpr double podsAmiss = 0.1;           // lost, or slower than the rest: the fleet is not what it was
-constexpr double slowBar = 0.4, calmShare = 0.2;  // of all pods, against the time before the build
+constexpr Nanos slowSpell = 2 * poolEvery, longSpell = 5 * poolEvery;  // by no other cause; by whatever cause
+constexpr double demandRise = 1.4;  // first tries against the time before: a burst
+constexpr int demandSeconds = 3;    // over which they are counted
+constexpr double podsAmiss = 0.1;   // lost, or slower than the rest: the fleet is not what it was
+constexpr double slowBar = 0.4, wreckedBar = 0.25, calmShare = 0.2;  // of all, against before the build
 
 constexpr double openPart = 0.4;    // of the target latency: what open hits come to at the pace of deliveries
 constexpr int paceTicks = 5;        // over which that pace fades
@@ -177,8 +176,8 @@
     int me, balancers, forwardsAtMost, closedStages, lastStage;
     bool mayTell, probesTell, askForList, perGroup, oneWay, clocked;
     double free, firstCap, coldFrom, coldExcess;
-    Nanos coldTime, silentAfter, settleFor, countAfter, renewAfter, answerWait, rateGap, advice, window;
-    Nanos born = -1;
+    Nanos coldTime, silentAfter, settleFor, skipFirst, countAfter, renewAfter, answerWait, rateGap, advice;
+    Nanos window, born = -1;
     std::vector<std::array<Nanos, lastBin>> edges;  // of the latency bins, by path group
     std::vector<int> everyone;
 
@@ -218,12 +217,10 @@
         free = told.freeForwards;
         window = told.exposureWindow;
         firstCap = told.caps.empty() ? 0 : told.caps.front();
-        coldFrom = told.coldFrom;
+        coldFrom = told.coldFrom, coldTime = told.coldTime;
         coldExcess = std::max(1.0, told.fallMultiple * coldPart);
-        coldTime = told.coldTime;
-        countAfter = std::max(skipFirst, coldTime * 3 / 4);
-        renewAfter = told.voteLife / 2;
-        answerWait = told.answerWait;
+        skipFirst = std::min(skipAtMost, coldTime), countAfter = std::max(skipFirst, coldTime * 3 / 4);
+        renewAfter = told.voteLife / 2, answerWait = told.answerWait;
         rateGap = static_cast<Nanos>(1.0 * balancers * second / std::max(told.votesPerSecond, 0.1));
         advice = told.adviseRetry ? told.maxRetryAfter : 0;
         silentAfter = second;
@@ -541,7 +538,8 @@
         int highest = told.build;
         for (const auto& line : lines) {
             auto& pod = *line.pod;
-            if (line.started != pod.started) {  // another process: nothing known of it, and cold
+            // Another process, or an id that came back with another build: nothing known of it, and cold.
+            if (line.started != pod.started || (pod.build && pod.build->number != line.build)) {
                 pod.lately = pod.unsent = pod.pooled = {};
                 pod.viewed = 1;
                 pod.coldSpent = -std::max(typicalWork, 1.0) * static_cast<double>(chance() % 1000 + 1) / 1000;
@@ -577,11 +575,9 @@
         const auto n = static_cast<std::size_t>(balancers);
         trial.own = calm;
         calm.assign(edges.size(), {});
-        trial.lately.resize(edges.size());
-        trial.senders.resize(n);
+        trial.lately.resize(edges.size()), trial.sums.resize(edges.size());
+        trial.senders.resize(n), trial.verdicts.resize(n);
         for (auto& sender : trial.senders) sender.seq.resize(edges.size()), sender.last.resize(edges.size());
-        trial.sums.resize(edges.size());
-        trial.verdicts.resize(n);
         // Three voters, hashed from the build number: the same at every sidecar.
         std::vector<std::pair<std::uint64_t, int>> order;
         for (int peer = 0; peer < balancers; ++peer) {
@@ -808,13 +804,16 @@
     // shows nothing. So the same test ranks all answers of late against those before the build came. While
     // these are slower, voters abstain and the timer waits; if that lasts for two poolings with no known
     // cause, it is 'back', unless it held in the first stage already, whose traffic is too little. Also
-    // guards against going on in a jam. Harm: a slow spell of that length in a later stage takes a good build
-    // off.
-    bool slowerThanBefore(const Side& lately, const Side& before) {
+    // guards against going on in a jam. After release it takes a wreck: half of all more than before
+    // is late or kept out. Harm: a slow spell of that length in a later stage takes a good build off.
+    bool slowerThanBefore(const Side& lately, const Side& before, bool released) {
         const double n = lately.all(), m = before.all();
-        if (n < leastOutcomes || m < leastOutcomes || trial.slowAnyway) return false;
+        if (n < leastOutcomes || m < leastOutcomes || (trial.slowAnyway && !released)) return false;
         if (before.bins[lastBin] > m * calmShare) return false;  // a busy fleet's ranks swing with its load
-        return rankTest(lately.bins, before.bins, slowBar, draws, chance).upperChance < 1 - certain;
+        const auto chances = released ? rankTest(inTwo(lately.bins[lastBin], n),
+                                                 inTwo(before.bins[lastBin], m), wreckedBar, draws, chance)
+                                      : rankTest(lately.bins, before.bins, slowBar, draws, chance);
+        return chances.upperChance < 1 - certain;
     }
 
     Verdict verdictNow() {
@@ -837,23 +836,27 @@
         }
         const auto [x, y] = mixed(present);
         if (back || worse(x, y, beside(x, y))) return Verdict::back;
-        if (released) return Verdict::none;
-        const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes;
-        if (enough && beside(x, y) && rankTest(x.bins, y.bins, backBar, draws, chance).upperChance < 1 - sure)
-            return Verdict::back;
+        const bool enough = x.all() >= leastOutcomes && y.all() >= leastOutcomes, flows = beside(x, y);
+        const auto ranks = [&](double bar) { return rankTest(x.bins, y.bins, bar, draws, chance); };
+        if (enough && flows && ranks(backBar).upperChance < 1 - sure) return Verdict::back;
+        const auto surelyOn = [&](double bar) { return enough && ranks(bar).lowerChance > sure; };
         const auto [these, those] = mixed(past);
-        if (slowerThanBefore(these, those)) {
+        if (slowerThanBefore(these, those, released)) {
             if (trial.slowSince < 0) trial.heldSince = now;
             if (trial.slowSince < 0 || knownCause()) trial.slowSince = now;
-            trial.slowAnyway = now - trial.heldSince >= longSpell;
+            // Exception: slow because the earlier build is (it turned bad after its release): a new one that
+            // surely ranks ahead is the way out, and one that slows old and new alike does not rank ahead.
+            // Harm: one that is ahead while it has little traffic.
+            const bool ahead = !released && flows && surelyOn(aheadBar);
+            trial.slowAnyway = ahead || now - trial.heldSince >= longSpell;
             if (!trial.slowAnyway && now - trial.slowSince < slowSpell) return Verdict::none;
             if (!trial.slowAnyway && told.stage > 0) return Verdict::back;
             trial.slowAnyway = true;
         } else {
             trial.slowSince = -1;
         }
-        if (enough && !clocked && rankTest(x.bins, y.bins, onBar, draws, chance).lowerChance > sure)
-            return Verdict::on;
+        if (released) return Verdict::none;
+        if (!clocked && surelyOn(onBar)) return Verdict::on;
         if (clocked) {
             const bool young = told.build == trial.build && now - told.since < undecidedFor;
             return young ? Verdict::hold : Verdict::none;
@@ -907,20 +910,17 @@
     void measure() {
         if (now < nextSecond) return;
         nextSecond = now + second;
-        demand += (arrived - demand) / std::min(secondsSeen + 1, demandSeconds);
-        arrived = 0;
+        demand += (arrived - demand) / std::min(++secondsSeen, demandSeconds);
         double capacity = 0;
         for (auto* pod : pods)
             if (pod->availability == Availability::up) capacity += warmth(*pod);
-        ++secondsSeen;
         if (capacity > 0) doneRate += (done / capacity - doneRate) / std::min(secondsSeen, 10);
-        done = 0;
+        arrived = done = 0;
     }
 
     void renewTick() {
         if (nextTick > now) return;
-        nextTick = now + tickEvery;
-        ++ticks;
+        nextTick = now + tickEvery, ++ticks;
         pace *= 1 - 1.0 / paceTicks;
         door.wake(tickEvery);
     }
@@ -992,14 +992,12 @@
 void Balance::news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap,
                    Nanos age) {
     auto& parts = *parts_;
-    if (answer) {
-        parts.cast.next = parts.now;
-        if (answered != Outcome::delivered) {  // it may not count: cast again, spaced out when over the rate
-            parts.cast.verdict = Verdict::none, parts.cast.build = -1;
-            const auto gap = answered == Outcome::saturated ? parts.rateGap : tickEvery;
-            parts.cast.next += gap / 2 + static_cast<Nanos>(parts.chance() % 1000) * gap / 1000;
-        }
-        if (answered != Outcome::delivered) return;
+    if (answer) parts.cast.next = parts.now;
+    if (answer && answered != Outcome::delivered) {  // it may not count: cast again, spaced out over the rate
+        parts.cast.verdict = Verdict::none, parts.cast.build = -1;
+        const auto gap = answered == Outcome::saturated ? parts.rateGap : tickEvery;
+        parts.cast.next += gap / 2 + static_cast<Nanos>(parts.chance() % 1000) * gap / 1000;
+        return;
     }
     if (build < parts.told.build) return;
     if (build == parts.told.build && cap < parts.told.cap) {  // counting restarts under a lower cap
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -54,7 +54,8 @@
         Listing listing{&place, line.build, -1, line.cell, line.availability};
         if (line.startedMs > 0) listing.started = loop_.fromUnixMillis(line.startedMs);
         // Another process: what is open leads to the one before, which may have vanished without a word.
-        const bool another = listing.started != place.started || line.availability == Availability::gone;
+        const bool another = listing.started != place.started || line.availability == Availability::gone ||
+                             (place.build && place.build->number != line.build);
         if (another) upstream_.forget(place);
         const auto zone = std::find(zones_.begin(), zones_.end(), line.zone);
         if (zone != zones_.end()) listing.zone = static_cast<int>(zone - zones_.begin());
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -129,3 +129,14 @@
     for (int turn = 0; turn < 11; ++turn) scene.hit("first" + std::to_string(turn), 0);
     scene.matches("start");
 }
+
+// Ids come back with other builds.
+TEST_CASE("nothing is known of a pod that comes back with another build") {
+    Scene scene;
+    scene.pod(1, 5);
+    for (int turn = 0; turn < 5; ++turn) scene.pass("h" + std::to_string(turn), 0);
+    scene.pod(1, 5);
+    CHECK(scene.pods[1].lately.tries == 5);
+    scene.pod(1, 4);
+    CHECK(scene.pods[1].lately.tries == 0);
+}
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -194,6 +194,30 @@
     both.matches("slower-than-before");
 }
 
+// The long day: an earlier build that had turned bad held the good next one in its first stage for eight
+// seconds, and a released one under which nearly all was late stood until the next was offered.
+TEST_CASE("a build that ranks ahead waits for no slow earlier one, and a wreck after release is sent back") {
+    Scene all;
+    for (const std::string day : {"ahead", "alike", "released, a wreck", "released, slower"}) {
+        Trial trial;
+        const bool released = day.starts_with("released");
+        trial.note(day);
+        trial.news(7, 0, Standing::trial, 0.5);
+        trial.pod(2, 7);
+        Tallies told{pair(30, 0, 0, 0)[0], pair(100, 0, 0, 0)[0], pair(200, 0, 0, 0)[0]};
+        trial.balance->heard(1, counts(9, 1, {told}, 7));
+        if (released) trial.news(7, 1, Standing::released, 1);
+        for (std::uint32_t turn = 1; turn <= 7; ++turn) {
+            for (int side : {0, 1})
+                told[side].bins[side == 0 && day == "ahead" ? 0 : day == "released, a wreck" ? 9 : 6] += 60;
+            trial.balance->heard(1, counts(9, 1 + turn, {told}, 7));
+            trial.go(turn * 1000 * ms);
+        }
+        all.tape << trial.tape.str();
+    }
+    all.matches("ahead-or-wreck");
+}
+
 TEST_CASE("words on builds and pods that cannot be, and of peers that are not there, change nothing") {
     Message word{Message::Kind::verdict, 9, 1, 0xffffffffu, 3, 0, {}, {}};
     CHECK(!decode(encode(word)));
