--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -44,10 +44,6 @@
                                         : std::string(" does not count: ") + nameOf(back.ending) + " " +
                                               std::to_string(back.code)));
         loop_.later([this, at] { votes_.erase(at); });
-        // The build or stage that was voted on is over, and the watch has not told: a new one begins with how
-        // things stand. Guards against a platform whose news lag while it answers: the told cap still binds,
-        // and hits are bounced for it. Harm: a connection more, every half second at most.
-        if (answered == Outcome::superseded) stream_.renew();
         heard_(news.value_or(StageNews{}), true, answered);
     });
 }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -284,7 +284,8 @@
     const auto now = loop_.now();
     std::vector<evhttp_connection*> over;
     for (auto& client : clients_) {
-        const bool unfinished = !client.caller && (client.silent || client.reading);
+        // While closing, a client that does not read its answer must not hold the process either.
+        const bool unfinished = !client.caller && (client.silent || client.reading || closing_);
         if ((unfinished && now - client.since > wholeWithin) || (closing_ && idle(client)))
             over.push_back(client.connection);
     }
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -14,7 +14,8 @@
 
 using Json = nlohmann::json;
 
-constexpr double farthest = 1e15;  // of a number that stands for a time or a count
+constexpr double farthest = 1e15;       // of a number that stands for a time or a count
+constexpr double longestWait = 3600e9;  // of a client: an hour
 
 const Json* field(const Json& object, const char* name) {
     if (!object.is_object()) return nullptr;
@@ -148,7 +149,7 @@
     const double unit = text.back() == 'm' ? 1e6 : text.back() == 'u' ? 1e3 : 0;
     double number = 0;
     if (unit == 0 || !parse(text.substr(0, text.size() - 1), number)) return {};
-    if (!(number > 0) || !(number * unit <= farthest)) return {};
+    if (!(number > 0) || !(number * unit <= longestWait)) return {};
     return std::llround(number * unit);
 }
 
--- a/src/net/messages.hpp
+++ b/src/net/messages.hpp
@@ -39,7 +39,7 @@
 
 bool meantOnce(std::string_view header);  // a second one contradicts the first
 
-// "480m" or "250000u"; nothing if it is neither or not above zero.
+// "480m" or "250000u"; nothing if it is neither, not above zero, or beyond an hour.
 std::optional<Nanos> readBudget(std::string_view text);
 std::string budgetText(Nanos span);
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,8 +5,7 @@
 namespace lichenlanding::net {
 namespace {
 
-constexpr Nanos firstWait = 50'000'000;  // before a second opening; then twice as long each time
-constexpr Nanos renewAfter = 500'000'000;
+constexpr Nanos firstWait = 50'000'000;               // before a second opening; then twice as long each time
 constexpr std::size_t longestLine = 8 * 1024 * 1024;  // a list of tens of thousands of pods
 
 }  // namespace
@@ -31,7 +30,6 @@
 
 void Stream::open() {
     partial_.clear();
-    opened_ = loop_.now();
     connection_ = std::make_shared<Connection>(loop_, address_, SIZE_MAX >> 1);
     silent_.in(silence_);
     connection_->call(
@@ -40,17 +38,13 @@
 }
 
 void Stream::move(const Address& address) {
-    again(address == address_ ? "it is behind" : "its address is another");
+    again("its address is another");
     address_ = address;
     wait_ = firstWait;
     reopen_.stop();
     open();
 }
 
-void Stream::renew() {
-    if (connection_ && loop_.now() - opened_ >= renewAfter) move(address_);
-}
-
 // An answer that has come whole ends its last line, too.
 void Stream::ended(const Return& back) {
     if (back.ending == Ending::answered && !partial_.empty()) came("\n");
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -18,7 +18,6 @@
 
     void open();
     void move(const Address& address);  // opened there at once
-    void renew();  // opened anew, since it told less than is known elsewhere; not twice in half a second
 
   private:
     void came(std::string_view bytes);
@@ -28,7 +27,7 @@
     Loop& loop_;
     Address address_;
     Kind kind_;
-    Nanos connectWithin_, silence_, wait_, opened_ = 0;
+    Nanos connectWithin_, silence_, wait_;
     std::mt19937 chance_;
     Path path_;
     Each each_;
