Idle clients make room from a quarter of the descriptors on

Ruled out: admission, the bound itself (no log line), CPU, hits sent again. At fault: Front::joined() and the one bound in sidecar.cpp.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -69,11 +69,12 @@
     if (const auto gone = std::exchange(gone_, nullptr)) gone();
 }
 
-Front::Front(Loop& loop, const Address& listen, std::size_t connectionsAtMost, Took took,
-             std::function<bool()> ready)
+Front::Front(Loop& loop, const Address& listen, std::size_t connectionsAtEase, std::size_t connectionsAtMost,
+             Took took, std::function<bool()> ready)
     : loop_(loop),
       took_(std::move(took)),
       ready_(std::move(ready)),
+      ease_(connectionsAtEase),
       most_(connectionsAtMost),
       server_(evhttp_new(loop.base())),
       look_(loop, [this] { look(); }) {
@@ -144,7 +145,7 @@
     const bool freed = bufferevent_decref(stream);
     auto* connection = static_cast<evhttp_connection*>(context);
     if (freed || !connection) return;
-    if (clients_.size() >= most_ && !makeRoom()) {
+    if (clients_.size() >= ease_ && !makeRoom() && clients_.size() >= most_) {
         log(Kind::overload, std::to_string(clients_.size()) + " connections of clients: no more are taken");
         return evhttp_connection_free(connection);
     }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -47,8 +47,9 @@
     using Took = std::function<void(std::unique_ptr<Caller>)>;
 
     // Throws if it cannot listen. Requests for readiness are answered here.
-    Front(Loop& loop, const Address& listen, std::size_t connectionsAtMost, Took took,
-          std::function<bool()> ready);
+    // Beyond the first number of connections a new one makes room if it can, beyond the second it must.
+    Front(Loop& loop, const Address& listen, std::size_t connectionsAtEase, std::size_t connectionsAtMost,
+          Took took, std::function<bool()> ready);
     ~Front();
 
     void closeAfterAnswers();  // each connection gets one answer more, and idle ones are closed
@@ -84,7 +85,7 @@
     Loop& loop_;
     Took took_;
     std::function<bool()> ready_;
-    std::size_t most_;
+    std::size_t ease_, most_;
     bool closing_ = false;
     Owned<evhttp> server_;
     evconnlistener* listener_ = nullptr;  // the server's
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -12,6 +12,9 @@
 // Of the descriptors few are for the other parties; the rest are shared by pods' connections and clients'.
 constexpr int otherDescriptors = 32;
 int podConnections(int descriptors) { return std::max(descriptors / 2 - otherDescriptors, 1); }
+// Clients may be many, each with a connection of its own that it keeps, and they hold no more than a third of
+// the descriptors: idle ones must go before that, or new clients cannot come.
+std::size_t clientsAtEase(int descriptors) { return static_cast<std::size_t>(std::max(descriptors / 4, 1)); }
 std::size_t clientConnections(int descriptors) {
     return static_cast<std::size_t>(
         std::max(descriptors - podConnections(descriptors) - otherDescriptors, 1));
@@ -48,7 +51,7 @@
                  decide([&](Balance& balance) { balance.heard(peer, bytes); });
              }),
       front_(
-          loop_, config_.listen, clientConnections(config_.sockets),
+          loop_, config_.listen, clientsAtEase(config_.sockets), clientConnections(config_.sockets),
           [this](std::unique_ptr<Caller> caller) { took(std::move(caller)); },
           [this] {
               if (discovery_.any() && !std::exchange(ready_, true)) log(Kind::ready, config_.name);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -380,7 +380,7 @@
 // The churn day: clients that asked once and stayed took all descriptors, and the process ended on it.
 TEST_CASE("silent clients and idle ones make room for new ones, and nobody may take for ever to ask") {
     Town town;
-    town.start(1, 72);  // 36 connections of clients
+    town.start(1, 72);  // 36 connections of clients, 18 at ease
     std::vector<std::unique_ptr<RawClient>> others;
     const auto crowd = [&](const std::string& bytes) {
         others.clear();
@@ -394,7 +394,13 @@
         CHECK((*back)->code == 200);
     };
     SUBCASE("silent") { crowd(""); }
-    SUBCASE("asked once") { crowd("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); }
+    SUBCASE("asked once") {
+        crowd("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto open = [&] {
+            return std::count_if(others.begin(), others.end(), [](auto& one) { return !one->closed(); });
+        };
+        town.until([&] { return open() <= 18; });
+    }
     SUBCASE("half a request") {
         others.push_back(std::make_unique<RawClient>(town.sidecar->address()));
         others.back()->say("GET /read HTTP/1.1\r\nHo");
