Trust in signed metadata: TUF client core, crash-safe store, repository tool, mirrors

Whoever could speak on the platform's connection decided what was on trial; nothing knew a key. src/metadata is the core without I/O (strict JSON, keys, roles, trusted set, update workflow, delegations, Uptane), src/store the folder in which a kill leaves the old state or the new one, src/net/trust the sidecar's client and mirror, src/command the command line on CLI11.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -174,7 +174,7 @@
     Door& door;
     std::mt19937 chance;
     int me, balancers, forwardsAtMost, closedStages, lastStage;
-    bool mayTell, probesTell, askForList, perGroup, oneWay, clocked;
+    bool mayTell, probesTell, askForList, perGroup, oneWay, clocked, attestationNeeded;
     double free, firstCap, coldFrom, coldExcess;
     Nanos coldTime, silentAfter, settleFor, skipFirst, countAfter, renewAfter, answerWait, rateGap, advice;
     Nanos window, born = -1;
@@ -214,6 +214,7 @@
         mayTell = told.mayTell, probesTell = told.probesTell, askForList = told.askForList;
         perGroup = told.perGroup, oneWay = told.oneWay;
         clocked = told.control == Control::clocked;
+        attestationNeeded = told.attestationNeeded;
         free = told.freeForwards;
         window = told.exposureWindow;
         firstCap = told.caps.empty() ? 0 : told.caps.front();
@@ -241,8 +242,16 @@
                (build.number == told.build && told.standing != Standing::released);
     }
 
-    // A build that the news does not name yet counts as in the first stage.
-    double cap(const Build& build) const { return build.number == told.build ? told.cap : firstCap; }
+    bool vouchedFor(const Build& build) const {
+        return !attestationNeeded || build.attestation == Attestation::valid;
+    }
+
+    // A build that the news does not name yet counts as in the first stage, and so does one that no valid
+    // metadata vouch for, whatever stage it was brought to.
+    double cap(const Build& build) const {
+        if (build.number != told.build) return firstCap;
+        return vouchedFor(build) ? told.cap : std::min(told.cap, firstCap);
+    }
 
     double& allowance(Build& build, const PathGroup& group) const {
         return build.allowance[perGroup ? static_cast<std::size_t>(group.index) : 0];
@@ -884,6 +893,14 @@
     void castVote() {
         if (told.build != trial.build || told.build < 0) return;  // no stage to vote for yet
         auto verdict = isVoter() ? trial.verdict : echo();
+        // Exception: signed metadata that are required and missing hold a build where it is, whatever its
+        // outcomes; withdrawn ones send it back. Harm: metadata that cannot be had in time cost a stage's
+        // wait.
+        if (attestationNeeded && !vouchedFor(*buildOf(told.build))) {
+            const bool withdrawn = buildOf(told.build)->attestation == Attestation::withdrawn;
+            if (withdrawn) verdict = Verdict::back;
+            if (verdict != Verdict::back) verdict = clocked ? Verdict::hold : Verdict::none;
+        }
         const bool late = told.standing == Standing::released && verdict == Verdict::back;
         if (told.standing != Standing::trial && !late) verdict = Verdict::none;
         // Exception: no 'on' in the last stage before its own pods have had time to warm and be counted: what
@@ -1011,6 +1028,12 @@
     parts.castVote();
 }
 
+void Balance::attested(int build, Attestation attestation) {
+    auto& parts = *parts_;
+    parts.buildOf(build)->attestation = attestation;
+    parts.castVote();
+}
+
 void Balance::woke() {
     auto& parts = *parts_;
     if (parts.nextTick < 0) {  // the first call
--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -51,6 +51,8 @@
     void flagged(Pod& pod, Nanos age, const PathGroup& group);
     void heard(int peer, const std::string& bytes);
     void news(int build, int stage, Standing standing, bool answer, Outcome answered, double cap, Nanos age);
+    // What signed metadata say of a build; asked for where settings need it.
+    void attested(int build, Attestation attestation);
     void woke();
 
   private:
--- /dev/null
+++ b/src/metadata/authoring.cpp
@@ -0,0 +1,235 @@
+#include "metadata/authoring.hpp"
+
+#include <algorithm>
+
+namespace lichenlanding::metadata {
+namespace {
+
+Json envelopeOf(const char* type, UnixSeconds expires) {
+    return {
+        {"signatures", Json::array()},
+        {"signed",
+         {{"_type", type}, {"spec_version", specVersion}, {"version", 1}, {"expires", timeText(expires)}}}};
+}
+
+Json idsOf(const std::vector<std::string>& ids) {
+    Json list = Json::array();
+    for (const auto& id : ids) list.push_back(id);
+    return list;
+}
+
+Check noRole(const std::string& role) { return Refusal{Reason::wrongShape, role, 0, "no such role"}; }
+
+// Keys that nobody names go.
+void prune(Json& keys, const std::vector<const Json*>& named) {
+    for (auto at = keys.begin(); at != keys.end();) {
+        const bool used = std::any_of(named.begin(), named.end(), [&](const Json* ids) {
+            return std::find(ids->begin(), ids->end(), Json(at.key())) != ids->end();
+        });
+        if (used) ++at;
+        else at = keys.erase(at);
+    }
+}
+
+void pruneRoot(Json& document) {
+    std::vector<const Json*> named;
+    for (const auto& role : document["roles"]) named.push_back(&role["keyids"]);
+    prune(document["keys"], named);
+}
+
+Json& delegationsOf(Json& envelope) {
+    auto& document = documentOf(envelope);
+    if (!document.contains("delegations")) document["delegations"] = {{"keys", Json::object()}};
+    return document["delegations"];
+}
+
+void pruneDelegations(Json& delegations) {
+    std::vector<const Json*> named;
+    if (delegations.contains("roles"))
+        for (const auto& role : delegations["roles"]) named.push_back(&role["keyids"]);
+    if (delegations.contains("succinct_roles")) named.push_back(&delegations["succinct_roles"]["keyids"]);
+    prune(delegations["keys"], named);
+}
+
+Check signable(const Signers& signers, const std::string& role) {
+    if (signers.threshold >= 1 && signers.threshold <= static_cast<std::int64_t>(signers.keyIds.size()))
+        return {};
+    return Refusal{Reason::wrongShape, role, 0,
+                   "a threshold of " + std::to_string(signers.threshold) + " with " +
+                       std::to_string(signers.keyIds.size()) + " keys"};
+}
+
+}  // namespace
+
+Json newRoot(UnixSeconds expires, bool consistent) {
+    auto made = envelopeOf("root", expires);
+    auto& document = documentOf(made);
+    document["consistent_snapshot"] = consistent;
+    document["keys"] = Json::object();
+    for (const auto* role : {"root", "timestamp", "snapshot", "targets"})
+        document["roles"][role] = {{"keyids", Json::array()}, {"threshold", 1}};
+    return made;
+}
+
+Json newTargets(UnixSeconds expires) {
+    auto made = envelopeOf("targets", expires);
+    documentOf(made)["targets"] = Json::object();
+    return made;
+}
+
+Json newSnapshot(UnixSeconds expires) {
+    auto made = envelopeOf("snapshot", expires);
+    documentOf(made)["meta"] = Json::object();
+    return made;
+}
+
+Json newTimestamp(UnixSeconds expires) {
+    auto made = envelopeOf("timestamp", expires);
+    documentOf(made)["meta"] = Json::object();
+    return made;
+}
+
+Json& documentOf(Json& envelope) { return envelope["signed"]; }
+
+std::int64_t versionOf(const Json& envelope) {
+    const auto* document = member(envelope, "signed", Json::value_t::object);
+    return document ? whole(*document, "version").value_or(0) : 0;
+}
+
+std::string textOf(const Json& envelope) { return envelope.dump(1) + "\n"; }
+
+void changed(Json& envelope, UnixSeconds expires) {
+    auto& document = documentOf(envelope);
+    document["version"] = versionOf(envelope) + 1;
+    document["expires"] = timeText(expires);
+    envelope["signatures"] = Json::array();
+}
+
+void sign(Json& envelope, const SigningKey& key) {
+    auto& signatures = envelope["signatures"];
+    const auto& id = key.key().id();
+    const Json made = {{"keyid", id}, {"sig", hex(key.sign(canonical(documentOf(envelope))))}};
+    for (auto& one : signatures)
+        if (one.value("keyid", "") == id) return void(one = made);
+    signatures.push_back(made);
+}
+
+Check addKey(Json& root, const std::string& role, const Key& key) {
+    auto& document = documentOf(root);
+    if (!document["roles"].contains(role)) return noRole(role);
+    document["keys"][key.id()] = key.object();
+    auto& ids = document["roles"][role]["keyids"];
+    if (std::find(ids.begin(), ids.end(), Json(key.id())) == ids.end()) ids.push_back(key.id());
+    return {};
+}
+
+Check removeKey(Json& root, const std::string& role, const std::string& keyId) {
+    auto& document = documentOf(root);
+    if (!document["roles"].contains(role)) return noRole(role);
+    auto& ids = document["roles"][role]["keyids"];
+    const auto found = std::find(ids.begin(), ids.end(), Json(keyId));
+    if (found == ids.end()) return Refusal{Reason::badKeyId, role, 0, "it has no key " + escaped(keyId, 64)};
+    ids.erase(found);
+    pruneRoot(document);
+    return {};
+}
+
+Check setThreshold(Json& root, const std::string& role, std::int64_t threshold) {
+    auto& document = documentOf(root);
+    if (!document["roles"].contains(role)) return noRole(role);
+    auto& entry = document["roles"][role];
+    Signers signers{entry["keyids"].get<std::vector<std::string>>(), threshold};
+    if (auto refusal = signable(signers, role)) return refusal;
+    entry["threshold"] = threshold;
+    return {};
+}
+
+Check addTarget(Json& targets, const std::string& path, std::string_view bytes, const Json& custom) {
+    if (!targetNameFits(path)) return Refusal{Reason::badName, escaped(path, 80), 0, "as a target's name"};
+    auto& entry = documentOf(targets)["targets"][path];
+    entry = {{"length", static_cast<std::int64_t>(bytes.size())},
+             {"hashes", {{"sha256", digest("sha256", bytes)}}}};
+    if (!custom.is_null()) entry["custom"] = custom;
+    return {};
+}
+
+bool removeTarget(Json& targets, const std::string& path) {
+    return documentOf(targets)["targets"].erase(path) > 0;
+}
+
+Check delegate(Json& targets, const Delegation& to, const std::vector<Key>& keys) {
+    if (!roleNameFits(to.name)) return Refusal{Reason::badName, escaped(to.name, 80), 0, "as a role's name"};
+    if (to.paths.empty() == to.prefixes.empty())
+        return Refusal{Reason::wrongShape, to.name, 0, "either path patterns or hash prefixes"};
+    if (auto refusal = signable(to.signers, to.name)) return refusal;
+    auto& delegations = delegationsOf(targets);
+    if (delegations.contains("succinct_roles"))
+        return Refusal{Reason::wrongShape, to.name, 0, "beside hash bins"};
+    for (const auto& key : keys) delegations["keys"][key.id()] = key.object();
+    Json entry = {{"name", to.name},
+                  {"keyids", idsOf(to.signers.keyIds)},
+                  {"threshold", to.signers.threshold},
+                  {"terminating", to.terminating}};
+    entry[to.paths.empty() ? "path_hash_prefixes" : "paths"] =
+        idsOf(to.paths.empty() ? to.prefixes : to.paths);
+    auto& roles = delegations["roles"];
+    bool replaced = false;
+    for (auto& one : roles)
+        if (one["name"] == to.name) one = entry, replaced = true;
+    if (!replaced) roles.push_back(entry);
+    pruneDelegations(delegations);
+    return {};
+}
+
+Check delegateBins(Json& targets, const Bins& to, const std::vector<Key>& keys) {
+    if (to.bits < 1 || to.bits > 32 || !roleNameFits(to.prefix + "-00000000"))
+        return Refusal{Reason::badName, escaped(to.prefix, 80), 0, "1 to 32 bits and a name's beginning"};
+    if (auto refusal = signable(to.signers, to.prefix)) return refusal;
+    auto& delegations = delegationsOf(targets);
+    if (delegations.contains("roles") && !delegations["roles"].empty())
+        return Refusal{Reason::wrongShape, to.prefix, 0, "beside other delegations"};
+    delegations.erase("roles");
+    for (const auto& key : keys) delegations["keys"][key.id()] = key.object();
+    delegations["succinct_roles"] = {{"keyids", idsOf(to.signers.keyIds)},
+                                     {"threshold", to.signers.threshold},
+                                     {"bit_length", to.bits},
+                                     {"name_prefix", to.prefix}};
+    pruneDelegations(delegations);
+    return {};
+}
+
+bool revoke(Json& targets, const std::string& role) {
+    auto& delegations = delegationsOf(targets);
+    if (!delegations.contains("roles")) return false;
+    auto& roles = delegations["roles"];
+    for (auto at = roles.begin(); at != roles.end(); ++at)
+        if ((*at)["name"] == role) {
+            roles.erase(at);
+            pruneDelegations(delegations);
+            return true;
+        }
+    return false;
+}
+
+Json listingOf(std::int64_t version, std::string_view bytes, bool hashed) {
+    Json made = {{"version", version}};
+    if (hashed) {
+        made["length"] = static_cast<std::int64_t>(bytes.size());
+        made["hashes"] = {{"sha256", digest("sha256", bytes)}};
+    }
+    return made;
+}
+
+void list(Json& snapshot, const std::string& fileName, const Json& listing) {
+    documentOf(snapshot)["meta"][fileName] = listing;
+}
+
+Check signedBy(const Json& envelope, const std::string& role, const std::string& type, const Keys& keys,
+               const Signers& signers) {
+    const auto text = textOf(envelope);
+    const auto read = Envelope::read(text, role, type, text.size());
+    if (!read) return read.refusal();
+    return read->verified(keys, signers, role);
+}
+
+}  // namespace lichenlanding::metadata
--- /dev/null
+++ b/src/metadata/trusted_set.cpp
@@ -0,0 +1,198 @@
+#include "metadata/trusted_set.hpp"
+
+namespace lichenlanding::metadata {
+namespace {
+
+std::string versions(std::int64_t came, const char* relation, std::int64_t other) {
+    return "version " + std::to_string(came) + ", " + relation + " " + std::to_string(other);
+}
+
+Check with(Refusal refusal, const std::string& role, std::int64_t version) {
+    refusal.role = role, refusal.version = version;
+    return refusal;
+}
+
+}  // namespace
+
+Result<TrustedSet> TrustedSet::start(std::string_view bytes, UnixSeconds now, const Sizes& sizes) {
+    auto envelope = Envelope::read(bytes, "root", "root", sizes.root);
+    if (!envelope) return envelope.refusal();
+    auto root = Root::read(*envelope);
+    if (!root) return root.refusal();
+    if (auto refusal = envelope->verified(root->keys, root->roles["root"], "root")) return *refusal;
+    return TrustedSet(std::move(*root), now, sizes);
+}
+
+// 5.3.4 and 5.3.5: signed by the old and by the new threshold, and one version on. Whether it has expired is
+// looked at only of the last one (5.3.10), so that a chain may lead through old ones.
+Check TrustedSet::root(std::string_view bytes) {
+    if (timestamp_) return Refusal{Reason::wrongOrder, "root", 0, "a timestamp is trusted already"};
+    auto envelope = Envelope::read(bytes, "root", "root", sizes_.root);
+    if (!envelope) return envelope.refusal();
+    auto next = Root::read(*envelope);
+    if (!next) return next.refusal();
+    if (auto refusal = envelope->verified(root_.keys, root_.roles.at("root"), "root")) return refusal;
+    if (next->version < root_.version)
+        return Refusal{Reason::rollback, "root", next->version,
+                       versions(next->version, "trusted", root_.version)};
+    if (next->version != root_.version + 1)
+        return Refusal{Reason::wrongVersion, "root", next->version,
+                       versions(next->version, "wanted", root_.version + 1)};
+    if (auto refusal = envelope->verified(next->keys, next->roles.at("root"), "root")) return refusal;
+    root_ = std::move(*next);
+    return {};
+}
+
+Result<Timestamp> TrustedSet::readTimestamp(std::string_view bytes) const {
+    if (snapshot_) return Refusal{Reason::wrongOrder, "timestamp", 0, "a snapshot is trusted already"};
+    if (auto refusal = rootStands()) return *refusal;
+    auto envelope = Envelope::read(bytes, "timestamp", "timestamp", sizes_.timestamp);
+    if (!envelope) return envelope.refusal();
+    if (auto refusal = envelope->verified(root_.keys, root_.roles.at("timestamp"), "timestamp"))
+        return *refusal;
+    return Timestamp::read(*envelope);
+}
+
+// 5.4.3 and 5.4.4.
+Check TrustedSet::timestamp(std::string_view bytes) {
+    auto next = readTimestamp(bytes);
+    if (!next) return next.refusal();
+    if (timestamp_) {
+        if (next->version < timestamp_->version)
+            return Refusal{Reason::rollback, "timestamp", next->version,
+                           versions(next->version, "trusted", timestamp_->version)};
+        if (next->version == timestamp_->version) return timestampStands();
+        if (next->snapshot.version < timestamp_->snapshot.version)
+            return Refusal{Reason::rollback, "snapshot", next->snapshot.version,
+                           versions(next->snapshot.version, "trusted", timestamp_->snapshot.version)};
+    }
+    if (auto refusal = inTime(next->expires, "timestamp", next->version)) return refusal;
+    timestamp_ = std::move(*next);
+    return {};
+}
+
+Check TrustedSet::keptTimestamp(std::string_view bytes) {
+    auto kept = readTimestamp(bytes);
+    if (!kept) return kept.refusal();
+    timestamp_ = std::move(*kept);
+    return timestampStands();
+}
+
+Result<Snapshot> TrustedSet::readSnapshot(std::string_view bytes) const {
+    if (!targets_.empty()) return Refusal{Reason::wrongOrder, "snapshot", 0, "targets are trusted already"};
+    if (auto refusal = timestampStands()) return *refusal;
+    auto envelope = Envelope::read(bytes, "snapshot", "snapshot", sizes_.snapshot);
+    if (!envelope) return envelope.refusal();
+    if (auto refusal = envelope->verified(root_.keys, root_.roles.at("snapshot"), "snapshot"))
+        return *refusal;
+    return Snapshot::read(*envelope);
+}
+
+// 5.5.2 to 5.5.6; the hash first, so that nothing unlisted is even read.
+Check TrustedSet::snapshot(std::string_view bytes) {
+    if (auto refusal = timestampStands()) return refusal;
+    const auto& listing = timestamp_->snapshot;
+    if (auto refusal = fits(bytes, listing.length, listing.hashes, "snapshot"))
+        return with(*refusal, "snapshot", listing.version);
+    auto next = readSnapshot(bytes);
+    if (!next) return next.refusal();
+    if (next->version != listing.version)
+        return Refusal{Reason::wrongVersion, "snapshot", next->version,
+                       versions(next->version, "listed", listing.version)};
+    if (snapshot_)
+        for (const auto& [name, before] : snapshot_->files) {
+            const auto found = next->files.find(name);
+            if (found == next->files.end())
+                return Refusal{Reason::vanished, "snapshot", next->version, escaped(name, 80)};
+            if (found->second.version < before.version)
+                return Refusal{
+                    Reason::rollback, "snapshot", next->version,
+                    escaped(name, 80) + ": " + versions(found->second.version, "trusted", before.version)};
+        }
+    if (auto refusal = inTime(next->expires, "snapshot", next->version)) return refusal;
+    snapshot_ = std::move(*next);
+    return {};
+}
+
+// Its hash is not compared: the timestamp that listed it may be gone already.
+Check TrustedSet::keptSnapshot(std::string_view bytes) {
+    auto kept = readSnapshot(bytes);
+    if (!kept) return kept.refusal();
+    snapshot_ = std::move(*kept);
+    return snapshotStands();
+}
+
+Check TrustedSet::delegated(std::string_view bytes, const std::string& role, const std::string& parent) {
+    if (auto refusal = snapshotStands()) return refusal;
+    const auto* listing = listed(role);
+    if (!listing) return Refusal{Reason::notListed, role, 0, "by the snapshot"};
+    const bool top = role == "targets";
+    const auto from = targets_.find(parent);
+    if (!top && from == targets_.end())
+        return Refusal{Reason::wrongOrder, role, 0,
+                       "its parent " + escaped(parent, 80) + " is not trusted yet"};
+    const auto* signers = top ? &root_.roles.at("targets") : from->second.signersOf(role);
+    if (!signers) return Refusal{Reason::notListed, role, 0, "by " + escaped(parent, 80)};
+    if (auto refusal = fits(bytes, listing->length, listing->hashes, role))
+        return with(*refusal, role, listing->version);
+    auto envelope = Envelope::read(bytes, role, "targets", sizes_.targets);
+    if (!envelope) return envelope.refusal();
+    if (auto refusal = envelope->verified(top ? root_.keys : from->second.keys, *signers, role))
+        return refusal;
+    auto next = Targets::read(*envelope, role);
+    if (!next) return next.refusal();
+    if (next->version != listing->version)
+        return Refusal{Reason::wrongVersion, role, next->version,
+                       versions(next->version, "listed", listing->version)};
+    if (auto refusal = inTime(next->expires, role, next->version)) return refusal;
+    targets_.insert_or_assign(role, std::move(*next));
+    trustedBy_.emplace(role, parent);
+    return {};
+}
+
+Check TrustedSet::inTime(UnixSeconds expires, const std::string& role, std::int64_t version) const {
+    if (expires > now_) return {};
+    return Refusal{Reason::expired, role, version, "at " + timeText(expires)};
+}
+
+Check TrustedSet::rootStands() const { return inTime(root_.expires, "root", root_.version); }
+
+Check TrustedSet::timestampStands() const {
+    if (auto refusal = rootStands()) return refusal;
+    if (!timestamp_) return Refusal{Reason::wrongOrder, "timestamp", 0, "none is trusted yet"};
+    return inTime(timestamp_->expires, "timestamp", timestamp_->version);
+}
+
+Check TrustedSet::snapshotStands() const {
+    if (auto refusal = timestampStands()) return refusal;
+    if (!snapshot_) return Refusal{Reason::wrongOrder, "snapshot", 0, "none is trusted yet"};
+    if (snapshot_->version != timestamp_->snapshot.version)
+        return Refusal{Reason::wrongVersion, "snapshot", snapshot_->version,
+                       versions(snapshot_->version, "listed", timestamp_->snapshot.version)};
+    return inTime(snapshot_->expires, "snapshot", snapshot_->version);
+}
+
+const Targets* TrustedSet::trusted(const std::string& role) const {
+    const auto found = targets_.find(role);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+bool TrustedSet::trustedBy(const std::string& role, const std::string& parent) const {
+    return trustedBy_.count({role, parent}) > 0;
+}
+
+const FileInfo* TrustedSet::listed(const std::string& role) const {
+    if (!snapshot_) return nullptr;
+    const auto found = snapshot_->files.find(role + ".json");
+    return found == snapshot_->files.end() ? nullptr : &found->second;
+}
+
+UnixSeconds TrustedSet::expires() const {
+    auto earliest = root_.expires;
+    if (timestamp_) earliest = std::min(earliest, timestamp_->expires);
+    if (snapshot_) earliest = std::min(earliest, snapshot_->expires);
+    for (const auto& [role, one] : targets_) earliest = std::min(earliest, one.expires);
+    return earliest;
+}
+
+}  // namespace lichenlanding::metadata
--- /dev/null
+++ b/src/metadata/update.hpp
@@ -0,0 +1,108 @@
+// The client's workflow as a machine that wants one thing at a time: it asks for a document, is given its
+// bytes or told that there are none, and hands out what is to be kept before it goes on. It does no I/O; the
+// command line, the sidecar and the tests drive the same object. Source: TUF 1.0, 5 (detailed workflow); 5.1
+// fixed time, 5.3 root chain, 5.3.11 rotated keys, 5.4 to 5.7.
+//
+//     Update update(set, kept, bounds);
+//     update.lookFor("releases/42");                 // any number, now or once an earlier search is over
+//     while (update.wants().kind == Update::Want::fetch)
+//         ... fetch update.wants().path; update.came(bytes) or update.missed(), then take update.keep()
+#pragma once
+
+#include <deque>
+
+#include "metadata/trusted_set.hpp"
+
+namespace lichenlanding::metadata {
+
+// What was trusted before, by file name ("timestamp.json", a delegated role's quoted name): bytes, or none.
+class Kept {
+  public:
+    virtual ~Kept() = default;
+    virtual std::optional<std::string> read(const std::string& name) const = 0;
+};
+
+struct Bounds {
+    int roots = 256;       // new versions of root in one update
+    int delegations = 64;  // roles visited in one search
+};
+
+// To be made durable as one step, in this order of steps: files with their bytes; no bytes: the file goes.
+struct KeepStep {
+    std::vector<std::pair<std::string, std::optional<std::string>>> files;
+};
+
+struct Found {
+    std::string path, role;  // role: that lists it
+    Target target;
+    std::string location() const;  // where it lies under the target base of a consistent repository
+};
+
+class Update {
+  public:
+    struct Want {
+        enum Kind { fetch, done, refused } kind = fetch;
+        std::string path;        // under the metadata base
+        std::size_t atMost = 0;  // bytes; more is refused as tooLong and need not be read
+        std::string role;
+    };
+
+    Update(TrustedSet set, const Kept& kept, Bounds bounds = {});
+
+    const Want& wants() const { return want_; }
+    void came(std::string_view bytes);
+    void missing();            // the mirrors say that there is none
+    void failed(Refusal why);  // none could be had
+    void again();              // what was refused last is wanted again: another mirror may have better
+    void abort(Refusal why);   // ends it, whatever it wants
+    std::vector<KeepStep> keep() { return std::exchange(keep_, {}); }
+
+    // A search through the delegations: preorder, by priority, no role twice (5.6.7). Its result is in
+    // found() once nothing is wanted any more. A refusal in one ends this search and the update.
+    void lookFor(const std::string& path);
+    const std::map<std::string, std::optional<Found>>& found() const { return found_; }
+
+    const Refusal& refusal() const { return refusal_; }  // once wants().kind is refused
+    const TrustedSet& set() const { return set_; }
+    bool consistent() const { return set_.root().consistent; }
+    int visited() const { return visitedInAll_; }
+    // Whether the update has trusted another version of any role than before it.
+    bool changed() const { return changed_; }
+
+  private:
+    enum class At { root, timestamp, snapshot, roles };
+    struct Visit {
+        std::string role, parent;
+    };
+
+    void ask(std::string path, std::size_t atMost, const std::string& role);
+    void askRoot();
+    void refuse(Refusal why);
+    void startTimestamp();
+    void startSnapshot();
+    void startTargets();
+    bool useKept(const std::string& role, const std::string& parent);
+    void askRole(const std::string& role);
+    void searchOn();
+    std::string fileOf(const std::string& role, std::int64_t version) const;
+    void keepFile(const std::string& name, std::string_view bytes);
+
+    TrustedSet set_;
+    const Kept& kept_;
+    Bounds bounds_;
+    At at_ = At::root;
+    Want want_, refused_;  // refused_: what was wanted when a refusal came
+    Refusal refusal_;
+    std::vector<KeepStep> keep_;
+    int roots_ = 0, visitedInAll_ = 0;
+    bool changed_ = false;
+    Root before_;  // to see which roles' keys have been rotated
+
+    std::deque<std::string> searches_;
+    std::vector<Visit> open_;  // of the search at hand, the next at the end
+    std::set<std::string> visited_;
+    Visit visiting_;
+    std::map<std::string, std::optional<Found>> found_;
+};
+
+}  // namespace lichenlanding::metadata
--- a/src/net/answer.cpp
+++ b/src/net/answer.cpp
@@ -67,7 +67,8 @@
 Answer::State Answer::line(std::string_view text) {
     switch (at_) {
         case At::status:
-            if (text.size() < 12 || text.substr(0, 9) != "HTTP/1.1 " ||
+            closes = framing_ == Framing::byClose && text.substr(0, 9) == "HTTP/1.0 ";
+            if (text.size() < 12 || (text.substr(0, 9) != "HTTP/1.1 " && !closes) ||
                 (text.size() > 12 && text[12] != ' ') || !parse(text.substr(9, 3), code) || code < 100 ||
                 code > 599 || code == 101)
                 return State::spoilt;
@@ -112,22 +113,26 @@
     if (same(name, "Content-Type")) type = value;
     if (same(name, headers::notRun)) notRun = value == "1";
     if (same(name, headers::load)) load = value;
+    if (same(name, "Retry-After")) retryAfter = readRetryAfter(value);
     return true;
 }
 
 Answer::State Answer::headEnds() {
     if (code < 200) {  // the answer itself comes behind it
         auto ahead = headBytes_;
-        *this = Answer(longestBody_, std::move(piece_));
+        *this = Answer(longestBody_, std::move(piece_), framing_);
         headBytes_ = ahead;
         return State::more;
     }
     if (code == 204 || code == 304) left_ = 0;
-    else if (!told_) return State::spoilt;
+    else if (!told_ && framing_ == Framing::told) return State::spoilt;
+    else if (!told_) tillClose_ = closes = true, left_ = longestBody_;
     at_ = chunked_ ? At::chunkSize : At::body;
     return State::more;
 }
 
+Answer::State Answer::ended() const { return tillClose_ && at_ == At::body ? State::whole : State::spoilt; }
+
 void Answer::take(evbuffer* input) {
     const auto length = std::min(left_, evbuffer_get_length(input));
     left_ -= length, taken_ += length;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -60,9 +60,10 @@
     return true;
 }
 
-void Connection::call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece) {
+void Connection::call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece,
+                      Answer::Framing framing) {
     done_ = std::move(done);
-    answer_ = Answer(longestBody_, std::move(piece));
+    answer_ = Answer(longestBody_, std::move(piece), framing);
     if (!stream_ && !connect())
         return loop_.later([this, here = std::weak_ptr<char>(here_)] {
             if (!here.expired()) end(Ending::noRoom);
@@ -121,7 +122,7 @@
     const bool written = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
     if (answer_.closes || !written || evbuffer_get_length(input) > 0 || !quiet()) alive_ = false;
     finish({endingOfAnswer(answer_.code, answer_.notRun), answer_.code, std::move(answer_.body),
-            std::move(answer_.type), std::move(answer_.load)});
+            std::move(answer_.type), std::move(answer_.load), answer_.retryAfter});
 }
 
 // Whether a call's last byte was written decides between 'never ran' and 'may have run'.
@@ -131,6 +132,9 @@
         return connectTimer_.stop();
     }
     alive_ = false;
+    if (done_ && connected_ && (what & BEV_EVENT_EOF) && answer_.ended() == Answer::State::whole)
+        return finish({endingOfAnswer(answer_.code, answer_.notRun), answer_.code, std::move(answer_.body),
+                       std::move(answer_.type), std::move(answer_.load), answer_.retryAfter});
     if (done_) {
         const bool written = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
         return end(!connected_ ? Ending::refused : written ? Ending::cutAfter : Ending::cutBefore);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -33,6 +33,7 @@
     int code = 0;
     std::string body = {}, type = {};  // type: of the body, as its maker told
     std::string load = {};             // the pod's report, where the answer carries one
+    Nanos retryAfter = 0;              // what a refusal advises; 0 if it does not
 };
 
 class Connection {
@@ -45,7 +46,8 @@
 
     // done is called once, from the loop, unless the connection is destroyed first. within 0: no limit. With
     // piece, the answer's body is given as it comes.
-    void call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece = nullptr);
+    void call(const Call& call, Nanos connectWithin, Nanos within, Done done, Piece piece = nullptr,
+              Answer::Framing framing = Answer::Framing::told);
     void end(Ending why);  // closes it; a call that is out ends so
     void abandon();        // closes it; a call that is out is not told
     bool free() const { return alive_ && !done_; }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -42,8 +42,8 @@
     return value;
 }
 
-void Caller::answer(int code, const std::string& body, const std::string& type, Nanos retryAfter) {
-    if (std::exchange(answered_, true)) return;
+bool Caller::begin(const std::string& type, Nanos retryAfter) {
+    if (std::exchange(answered_, true)) return false;
     if (connection_) front_.answered(*front_.held(connection_));
     auto* headers = evhttp_request_get_output_headers(request_);
     evhttp_add_header(headers, "Content-Type", type.empty() ? "application/octet-stream" : type.c_str());
@@ -53,11 +53,28 @@
         evhttp_add_header(headers, "Retry-After", seconds);
     }
     if (front_.closing_ || last_) evhttp_add_header(headers, "Connection", "close");
+    return true;
+}
+
+void Caller::answer(int code, const std::string& body, const std::string& type, Nanos retryAfter) {
+    if (!begin(type, retryAfter)) return;
     auto* output = evhttp_request_get_output_buffer(request_);
     if (!body.empty()) evbuffer_add(output, body.data(), body.size());
     evhttp_send_reply(request_, code, nullptr, nullptr);  // frees the request if the client has left
 }
 
+void Caller::answer(int code, std::shared_ptr<const std::string> body, const std::string& type) {
+    if (!begin(type, 0)) return;
+    auto* held = new std::shared_ptr<const std::string>(std::move(body));
+    evbuffer_add_reference(
+        evhttp_request_get_output_buffer(request_), (*held)->data(), (*held)->size(),
+        [](const void*, std::size_t, void* holder) {
+            delete static_cast<std::shared_ptr<const std::string>*>(holder);
+        },
+        held);
+    evhttp_send_reply(request_, code, nullptr, nullptr);
+}
+
 void Caller::refuse(int code) {
     last_ = true;
     answer(code);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <list>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -28,10 +29,13 @@
 
     // Sent at once; what comes after the first answer is dropped. retryAfter 0: no advice.
     void answer(int code, const std::string& body = {}, const std::string& type = {}, Nanos retryAfter = 0);
+    // A large body, which is not copied but held until it has been written.
+    void answer(int code, std::shared_ptr<const std::string> body, const std::string& type);
     void refuse(int code);  // the same, and the connection ends: what follows on it cannot be trusted
 
   private:
     friend class Front;
+    bool begin(const std::string& type, Nanos retryAfter);  // false: it is answered already
     void left();
 
     Front& front_;
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -18,6 +18,7 @@
     peer,
     overload,
     failure,
+    metadata,
     count
 };
 
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -155,6 +155,12 @@
 
 std::string budgetText(Nanos span) { return std::to_string(std::max<Nanos>(span / 1000, 1)) + "u"; }
 
+Nanos readRetryAfter(std::string_view seconds) {
+    double number = 0;
+    if (!parse(seconds, number) || !(number > 0) || !(number * 1e9 <= longestWait)) return 0;
+    return std::llround(number * 1e9);
+}
+
 Nanos readWork(std::string_view micros) {
     double number = 0;
     if (!parse(micros, number) || !(number > 0) || !(number * 1e3 <= farthest)) return 0;
--- a/src/net/messages.hpp
+++ b/src/net/messages.hpp
@@ -43,6 +43,8 @@
 std::optional<Nanos> readBudget(std::string_view text);
 std::string budgetText(Nanos span);
 
+Nanos readRetryAfter(std::string_view seconds);  // whole or decimal, up to an hour; 0 if it cannot be read
+
 Nanos readWork(std::string_view micros);  // 0 if it cannot be read
 
 // The hits that a pod says it holds; below 0 if the report does not tell.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -20,10 +20,20 @@
         std::max(descriptors - podConnections(descriptors) - otherDescriptors, 1));
 }
 
+// Connections to and of mirrors come out of what hits have; each direction of them is bounded.
+Config withTrust(Config config, const std::optional<TrustConfig>& trust) {
+    if (!trust) return config;
+    config.settings.attestationNeeded = true;
+    if (trust->serve) config.sockets -= static_cast<int>(trust->serveConnections);
+    if (config.sockets < 2 * otherDescriptors)
+        throw std::invalid_argument("serve.connections: too many for limits.sockets");
+    return config;
+}
+
 }  // namespace
 
-Sidecar::Sidecar(const Config& config)
-    : config_(config),
+Sidecar::Sidecar(const Config& config, const std::optional<TrustConfig>& trust)
+    : config_(withTrust(config, trust)),
       upstream_(loop_, config_.settings.connectWithin, config_.settings.keepIdle,
                 podConnections(config_.sockets)),
       balance_(config_.settings, config_.seed, *this),
@@ -31,6 +41,8 @@
                  static_cast<std::uint32_t>(config_.seed), config_.settings.zones, upstream_,
                  [this](bool whole, std::vector<Listing> lines) {
                      decide([&](Balance& balance) { balance.listed(whole, lines); });
+                     if (trust_)
+                         for (const auto& line : lines) trust_->named(line.build);
                  }),
       desk_(
           loop_, config_.platform, config_.settings.connectWithin, config_.settings.answerWait,
@@ -39,6 +51,7 @@
               decide([&](Balance& balance) {
                   balance.news(news.build, news.stage, news.standing, answer, answered, news.cap, news.age);
               });
+              if (trust_) trust_->named(news.build);
           },
           [this](const Dispute& dispute) {
               auto* place = upstream_.known(dispute.pod);
@@ -59,8 +72,14 @@
           }),
       wake_(loop_, [this] { decide([](Balance& balance) { balance.woke(); }); }),
       leave_(loop_, [this] { leaveIfDone(); }) {
+    if (trust)
+        trust_.emplace(loop_, *trust, static_cast<std::uint32_t>(config_.seed >> 16),
+                       [this](int build, Attestation attestation) {
+                           decide([&](Balance& balance) { balance.attested(build, attestation); });
+                       });
     decide([](Balance& balance) { balance.woke(); });
     if (config_.news) {
+        if (trust_) trust_->named(config_.news->build);
         const auto& news = *config_.news;
         decide([&](Balance& balance) {
             balance.news(news.build, news.stage, news.standing, false, Outcome::delivered, news.cap,
@@ -69,6 +88,7 @@
     }
     discovery_.start(config_.known);
     desk_.start();
+    if (trust_) trust_->start();
     log(Kind::start, config_.name + " listens on " + front_.address().text());
 }
 
@@ -147,11 +167,16 @@
     desk_.move(config.platform);
 }
 
+void Sidecar::reload(const TrustConfig& trust) {
+    if (trust_) trust_->reload(trust);
+}
+
 void Sidecar::stop() {
     if (stopped_ >= 0) return;
     stopped_ = loop_.now();
     log(Kind::stop, std::to_string(passages_.size()) + " hits open");
     front_.closeAfterAnswers();
+    if (trust_) trust_->stop();
     leave_.in(newcomersFor);
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,23 +12,27 @@
 #include "net/front.hpp"
 #include "net/passage.hpp"
 #include "net/peers.hpp"
+#include "net/trust.hpp"
 #include "net/upstream.hpp"
 
 namespace lichenlanding::net {
 
 class Sidecar final : private Door, private Host {
   public:
-    explicit Sidecar(const Config& config);  // listens; throws if it cannot
+    // Listens; throws if it cannot. With a file on trust, builds need valid signed metadata.
+    explicit Sidecar(const Config& config, const std::optional<TrustConfig>& trust = {});
     ~Sidecar() override;
 
     void run();  // until stop() has come to its end
     // Takes discovery's and the platform's address from it; what is under way goes on.
     void reload(const Config& config);
+    void reload(const TrustConfig& trust);
     void stop();  // no longer ready; returns from run() once what was taken is answered
     Loop& loop() { return loop_; }
     Address address() const { return front_.address(); }
     std::size_t open() const { return passages_.size(); }  // hits that are not over
-    std::size_t gone() const { return gone_; }             // hits whose client left before their answer
+    const Trust* trust() const { return trust_ ? &*trust_ : nullptr; }
+    std::size_t gone() const { return gone_; }  // hits whose client left before their answer
 
   private:
     void forward(const Forward& sent, Nanos timeout) override;
@@ -59,6 +63,7 @@
     Desk desk_;
     Peers peers_;
     Front front_;
+    std::optional<Trust> trust_;
     Timer wake_, leave_;
     bool deciding_ = false;
     std::vector<std::function<void()>> asked_;  // by the decisions, during their call
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -19,6 +19,7 @@
 enum class Standing { trial, goingBack, released, withdrawn };
 enum class Control { single, majority, clocked };
 enum class Availability { up, draining, gone };
+enum class Attestation { none, valid, withdrawn };  // what signed metadata say of a build
 
 struct PathGroup {
     std::string name;
@@ -51,6 +52,7 @@
     int closedStages = 0, backVotes = 1;
     bool perGroup = false, oneWay = false;
     double votesPerSecond = 1;
+    bool attestationNeeded = false;  // signed metadata are required of a build on trial
     // Of a real sidecar's connections and clock; the decisions do not look at them. 0: not told.
     Nanos connectWithin = 0, keepIdle = 0, grain = 0;
     int maxOpen = 0;
@@ -59,6 +61,7 @@
 struct Build {
     int number = 0;
     std::vector<double> allowance;  // forwards that the exposure rule allows now, by path group if counted so
+    Attestation attestation = Attestation::none;
 };
 
 // Outcomes at one pod and the sum of their slowness.
