--- a/src/command/metadata_client.cpp
+++ b/src/command/metadata_client.cpp
@@ -38,7 +38,7 @@
           targetBases_(urlsOf(asked.targetBases)),
           mirrors_(asked.mirrors, 1),
           targetMirrors_(asked.targetBases, 1) {
-        figures_.within = static_cast<Nanos>(asked.within * 1e9);
+        patience_.within = static_cast<Nanos>(asked.within * 1e9);
     }
 
     int init() {
@@ -89,7 +89,7 @@
         Update update(std::move(*set), **store);
         if (!target.empty()) update.lookFor(target);
         net::FetchCounts counts;
-        net::Refresh refresh(loop_, mirrors_, bases_, **store, std::move(update), figures_, counts, nullptr,
+        net::Refresh refresh(loop_, mirrors_, bases_, **store, std::move(update), patience_, counts, nullptr,
                              [this](net::Refresh&) { loop_.stop(); });
         refresh.start();
         loop_.run();
@@ -114,7 +114,7 @@
             say(path + " is there already");
             return success;
         }
-        net::Download download(loop_, targetMirrors_, targetBases_, figures_, counts);
+        net::Download download(loop_, targetMirrors_, targetBases_, patience_, counts);
         std::optional<Result<std::string>> got;
         download.start(found, consistent, asked_.atMost, [&](Result<std::string> result) {
             got = std::move(result);
@@ -133,7 +133,7 @@
     std::vector<net::Url> bases_, targetBases_;
     net::Loop loop_;
     Mirrors mirrors_, targetMirrors_;
-    net::MirrorFetch::Figures figures_;
+    Patience patience_;
 };
 
 }  // namespace
--- a/src/metadata/mirrors.hpp
+++ b/src/metadata/mirrors.hpp
@@ -46,6 +46,12 @@
     std::mt19937 chance_;
 };
 
+// How long one mirror is waited for, at one document.
+struct Patience {
+    Nanos connectWithin = 2'000'000'000;
+    Nanos within = 30'000'000'000;  // the whole answer, whatever its size: a slow one ends there
+};
+
 // When the next refresh is due.
 class Rhythm {
   public:
--- a/src/net/mirror_fetch.cpp
+++ b/src/net/mirror_fetch.cpp
@@ -15,8 +15,8 @@
 
     bool await_ready() const { return false; }
     void await_suspend(std::coroutine_handle<> life) {
-        of.fetch_ = std::make_unique<Fetch>(of.loop_, url, of.document_.atMost, of.figures_.connectWithin,
-                                            of.figures_.within, [this, life](Fetched came) {
+        of.fetch_ = std::make_unique<Fetch>(of.loop_, url, of.document_.atMost, of.patience_.connectWithin,
+                                            of.patience_.within, [this, life](Fetched came) {
                                                 back = std::move(came);
                                                 life.resume();
                                             });
@@ -49,8 +49,8 @@
 };
 
 MirrorFetch::MirrorFetch(Loop& loop, metadata::Mirrors& mirrors, const std::vector<Url>& bases,
-                         metadata::Budget& budget, const Figures& figures, FetchCounts& counts)
-    : loop_(loop), mirrors_(mirrors), bases_(bases), budget_(budget), figures_(figures), counts_(counts) {}
+                         metadata::Budget& budget, const metadata::Patience& patience, FetchCounts& counts)
+    : loop_(loop), mirrors_(mirrors), bases_(bases), budget_(budget), patience_(patience), counts_(counts) {}
 
 void MirrorFetch::start(Document document, Accept accept, Done done) {
     document_ = std::move(document), accept_ = std::move(accept), done_ = std::move(done);
--- a/src/net/mirror_fetch.hpp
+++ b/src/net/mirror_fetch.hpp
@@ -16,10 +16,6 @@
 
 class MirrorFetch {
   public:
-    struct Figures {
-        Nanos connectWithin = 2'000'000'000;
-        Nanos within = 30'000'000'000;  // one forward, whatever its size; a slow one ends there
-    };
     struct Document {
         std::string name;
         std::size_t atMost = 0;
@@ -32,7 +28,7 @@
 
     // done is called once, from the loop or from within start(), unless this is destroyed first.
     MirrorFetch(Loop& loop, metadata::Mirrors& mirrors, const std::vector<Url>& bases,
-                metadata::Budget& budget, const Figures& figures, FetchCounts& counts);
+                metadata::Budget& budget, const metadata::Patience& patience, FetchCounts& counts);
     void start(Document document, Accept accept, Done done);
 
   private:
@@ -44,7 +40,7 @@
     metadata::Mirrors& mirrors_;
     const std::vector<Url>& bases_;
     metadata::Budget& budget_;
-    Figures figures_;
+    metadata::Patience patience_;
     FetchCounts& counts_;
     Document document_;
     Accept accept_;
--- a/src/net/refresh.cpp
+++ b/src/net/refresh.cpp
@@ -32,14 +32,13 @@
 };
 
 Refresh::Refresh(Loop& loop, Mirrors& mirrors, const std::vector<Url>& bases, TrustStore& store,
-                 Update update, const MirrorFetch::Figures& figures, FetchCounts& counts, Worker* worker,
-                 Done done)
+                 Update update, const Patience& patience, FetchCounts& counts, Worker* worker, Done done)
     : loop_(loop),
       worker_(worker),
       budget_(mirrors.size()),
       store_(store),
       update_(std::move(update)),
-      fetch_(loop, mirrors, bases, budget_, figures, counts),
+      fetch_(loop, mirrors, bases, budget_, patience, counts),
       done_(std::move(done)) {}
 
 void Refresh::start() { life_ = life(); }
@@ -77,9 +76,9 @@
     return {};
 }
 
-Download::Download(Loop& loop, Mirrors& mirrors, const std::vector<Url>& bases,
-                   const MirrorFetch::Figures& figures, FetchCounts& counts)
-    : budget_(mirrors.size()), fetch_(loop, mirrors, bases, budget_, figures, counts) {}
+Download::Download(Loop& loop, Mirrors& mirrors, const std::vector<Url>& bases, const Patience& patience,
+                   FetchCounts& counts)
+    : budget_(mirrors.size()), fetch_(loop, mirrors, bases, budget_, patience, counts) {}
 
 void Download::start(const Found& found, bool consistent, std::size_t atMost, Done done) {
     const auto& target = found.target;
--- a/src/net/refresh.hpp
+++ b/src/net/refresh.hpp
@@ -14,7 +14,7 @@
     // done is called once, from the loop, unless this is destroyed first; it may destroy this. With a worker,
     // verifying and keeping happen there, and the worker must be destroyed first.
     Refresh(Loop& loop, metadata::Mirrors& mirrors, const std::vector<Url>& bases, TrustStore& store,
-            metadata::Update update, const MirrorFetch::Figures& figures, FetchCounts& counts, Worker* worker,
+            metadata::Update update, const metadata::Patience& patience, FetchCounts& counts, Worker* worker,
             Done done);
 
     void start();
@@ -44,7 +44,7 @@
     using Done = std::function<void(metadata::Result<std::string>)>;
 
     Download(Loop& loop, metadata::Mirrors& mirrors, const std::vector<Url>& bases,
-             const MirrorFetch::Figures& figures, FetchCounts& counts);
+             const metadata::Patience& patience, FetchCounts& counts);
     void start(const metadata::Found& found, bool consistent, std::size_t atMost, Done done);
 
   private:
--- a/src/net/trust.cpp
+++ b/src/net/trust.cpp
@@ -61,6 +61,7 @@
       targetBases_(urlsOf(config.targets)),
       targetMirrors_(mirrorsOf(config.targets, seed + 1)),
       mostTarget_(config.serveBytes / 4),
+      patience_(config.patience),
       due_(loop, [this] { refresh(); }),
       lapses_(loop, [this] { lapse(); }),
       worker_(std::in_place, loop) {
@@ -141,7 +142,7 @@
     if (!set) return over(set.refusal(), 0);
     Update update(std::move(*set), *of.store);
     for (const auto& path : paths) update.lookFor(path);
-    refresh_ = std::make_unique<Refresh>(loop_, of.mirrors, of.bases, *of.store, std::move(update), figures_,
+    refresh_ = std::make_unique<Refresh>(loop_, of.mirrors, of.bases, *of.store, std::move(update), patience_,
                                          counts_.fetches, worker_ ? &*worker_ : nullptr, std::move(then));
     refresh_->start();
 }
@@ -260,7 +261,7 @@
         downloads_.pop_front();
         if (mirror_->holds(found.location())) continue;
         download_ =
-            std::make_unique<Download>(loop_, targetMirrors_, targetBases_, figures_, counts_.fetches);
+            std::make_unique<Download>(loop_, targetMirrors_, targetBases_, patience_, counts_.fetches);
         download_->start(found, consistent, mostTarget_, [this, found](Result<std::string> got) {
             if (got) mirror_->hold(found.location(), std::move(*got));
             else log(Kind::metadata, "not held for others: " + got.refusal().text());
--- a/src/net/trust.hpp
+++ b/src/net/trust.hpp
@@ -68,7 +68,7 @@
     std::vector<Url> targetBases_;
     metadata::Mirrors targetMirrors_;
     std::size_t mostTarget_;
-    MirrorFetch::Figures figures_;
+    metadata::Patience patience_;
     Counts counts_;
     std::string lastRefusal_;
     Timer due_, lapses_;
--- a/src/net/trust_config.cpp
+++ b/src/net/trust_config.cpp
@@ -104,6 +104,9 @@
     fields.count("refreshMs", 100, 86'400'000, every);
     config.rhythm.every = every * 1'000'000;
     config.rhythm.leastWait = std::min(config.rhythm.leastWait, config.rhythm.every);
+    std::int64_t answer = config.patience.within / 1'000'000;
+    fields.count("answerMs", 50, 3'600'000, answer);
+    config.patience.within = answer * 1'000'000;
     if (const auto* serve = fields.find("serve")) {
         Fields inner(*serve, path + ": serve.");
         try {
--- a/src/net/trust_config.hpp
+++ b/src/net/trust_config.hpp
@@ -22,6 +22,7 @@
     std::vector<MirrorUrl> metadata, targets;
     std::string builds;                // "releases/{build}"
     metadata::Rhythm::Figures rhythm;  // "refreshMs"
+    metadata::Patience patience;       // "answerMs"
     std::optional<Address> serve;      // as a mirror to others
     std::size_t serveConnections = 64, serveBytes = 32u << 20;
     struct Director {
--- a/tests/helper.hpp
+++ b/tests/helper.hpp
@@ -386,7 +386,8 @@
             config.known->lines.push_back({"s-" + std::to_string(pod), pods.back()->address.text(), "a", 5});
         }
         config.news = net::StageNews{5, 1, Standing::released, 1, 0};
-        sidecar = std::make_unique<net::Sidecar>(config);
+        if (change) change(config);
+        sidecar = std::make_unique<net::Sidecar>(config, trust);
     }
     void turn() {
         loop.turn();
@@ -421,6 +422,8 @@
     }
 
     net::Loop loop;
+    std::optional<net::TrustConfig> trust;
+    std::function<void(net::Config&)> change;  // of the sidecar's configuration, before it starts
     StandIn::Serve serve;
     std::string script;
     int forwards = 0;
--- /dev/null
+++ b/tests/metadata/uptane.cpp
@@ -0,0 +1,216 @@
+#include "metadata/uptane.hpp"
+
+#include "../helper.hpp"
+#include "../stand_ins/repository.hpp"
+#include "metadata/builds.hpp"
+
+using namespace stand_ins;
+
+namespace {
+
+Json customOf(const std::string& unit, const std::string& hardware, std::int64_t counter) {
+    return {{"ecuIdentifier", unit}, {"hardwareId", hardware}, {"releaseCounter", counter}};
+}
+
+// A director and an image repository, and a primary that asks both.
+struct Fleet {
+    Repository director, images;
+    Client directorClient{director.firstRoot()}, imageClient{images.firstRoot()};
+
+    void offer(const std::string& path, const std::string& bytes, const std::string& unit,
+               std::int64_t counter) {
+        director.target("targets", path, bytes, customOf(unit, "m2", counter));
+        images.target("targets", path, bytes, {{"hardwareId", "m2"}, {"releaseCounter", counter}});
+    }
+    Result<std::map<std::string, uptane::Directive>> directives() {
+        director.publish(), images.publish();
+        directorClient.update(director.files);
+        auto set = TrustedSet::start(directorClient.kept.files.at("root.json"), start + 60);
+        set->timestamp(directorClient.kept.files.at("timestamp.json"));
+        set->snapshot(directorClient.kept.files.at("snapshot.json"));
+        set->targets(directorClient.kept.files.at("targets.json"));
+        return uptane::directives(*set->trusted());
+    }
+    std::map<std::string, std::optional<Found>> found(const std::vector<std::string>& paths) {
+        imageClient.update(images.files, start + 60, paths);
+        return imageClient.found;
+    }
+};
+
+std::string word(const Check& refusal) { return refusal ? refusal->text() : "accepted"; }
+
+}  // namespace
+
+TEST_CASE("director and image repository must agree, and a unit takes only what is for it") {
+    std::stringstream tape;
+    Fleet fleet;
+    fleet.offer("releases/42", "image 42", "pods-a", 42);
+    auto named = fleet.directives();
+    REQUIRE(named);
+    const auto directive = named->at("pods-a");
+    tape << "agreed: " << word(uptane::agrees(directive, fleet.found({"releases/42"}).at("releases/42")))
+         << '\n';
+    const auto differs = [&](const char* what, const std::function<void(Repository&)>& change) {
+        Fleet other = fleet;
+        change(other.images);
+        other.images.publish();
+        tape << what << ": "
+             << word(uptane::agrees(directive, other.found({"releases/42"}).at("releases/42"))) << '\n';
+    };
+    differs("another image", [](auto& images) {
+        images.target("targets", "releases/42", "image 4x", {{"hardwareId", "m2"}});
+    });
+    differs("a longer one",
+            [](auto& images) { images.target("targets", "releases/42", "image 42 and more"); });
+    differs("other hardware", [](auto& images) {
+        images.target("targets", "releases/42", "image 42", {{"hardwareId", "m3"}});
+    });
+    differs("another counter", [](auto& images) {
+        images.target("targets", "releases/42", "image 42", {{"releaseCounter", 7}});
+    });
+    differs("no such image", [](auto& images) {
+        removeTarget(images.role("targets"), "releases/42");
+        images.redo("targets");
+    });
+    tape << "for another unit: " << word(uptane::mayInstall(directive, {"pods-b", "m2", 1})) << '\n';
+    tape << "for other hardware: " << word(uptane::mayInstall(directive, {"pods-a", "m9", 1})) << '\n';
+    tape << "older than installed: " << word(uptane::mayInstall(directive, {"pods-a", "m2", 43})) << '\n';
+    tape << "the same again: " << word(uptane::mayInstall(directive, {"pods-a", "m2", 42})) << '\n';
+    const auto spoilt = [&](const char* what, const std::function<void(Repository&)>& change) {
+        Fleet other = fleet;
+        change(other.director);
+        const auto all = other.directives();
+        tape << what << ": " << (all ? "accepted" : all.refusal().text()) << '\n';
+    };
+    spoilt("two directives for a unit", [](auto& director) {
+        director.target("targets", "releases/43", "x", customOf("pods-a", "m2", 43));
+    });
+    spoilt("no unit", [](auto& director) { director.target("targets", "releases/43", "x"); });
+    spoilt("a counter below zero", [](auto& director) {
+        director.target("targets", "releases/43", "x", customOf("pods-b", "m2", -1));
+    });
+    spoilt("a director that delegates",
+           [](auto& director) { director.delegateTo("targets", "other", {"*"}); });
+    matchesTrace("uptane", tape.str());
+}
+
+TEST_CASE("a secondary verifies the director's targets alone, and never takes an older image") {
+    std::stringstream tape;
+    Fleet fleet;
+    fleet.offer("releases/42", "image 42", "pods-a", 42);
+    fleet.director.publish();
+    const auto& key = fleet.director.keys.at("targets").key();
+    Keys keys;
+    keys.emplace(key.id(), key);
+    uptane::Secondary unit({"pods-a", "m2", 41}, keys, {{key.id()}, 1});
+    const auto take = [&](const char* what, const std::string& bytes, UnixSeconds now = start) {
+        const auto taken = unit.targets(bytes, now);
+        tape << what << ": " << (taken ? "takes " + taken->path : taken.refusal().text()) << '\n';
+    };
+    tape << "before any: " << word(unit.install("image 42")) << '\n';
+    const auto second = fleet.director.files.at("2.targets.json");
+    take("its directive", second);
+    tape << "another image: " << word(unit.install("image 4x")) << '\n';
+    tape << "a longer one: " << word(unit.install("image 42 ")) << '\n';
+    tape << "the image: " << word(unit.install("image 42")) << ", runs counter "
+         << unit.installed().releaseCounter << '\n';
+    take("older targets", fleet.director.files.at("1.targets.json"));
+    take("expired targets", second, start + 90 * day);
+    auto forged = fleet.director.role("targets");
+    changed(forged, start + 900 * day);
+    sign(forged, SigningKey::generate(Scheme::ed25519));
+    take("targets signed by a stranger", textOf(forged));
+    fleet.director.target("targets", "releases/42", "image 40", customOf("pods-a", "m2", 40));
+    fleet.director.publish();
+    take("a directive to go back", fleet.director.files.at("3.targets.json"));
+    fleet.director.target("targets", "releases/42", "image 44", customOf("pods-b", "m2", 44));
+    fleet.director.publish();
+    take("a directive for another", fleet.director.files.at("4.targets.json"));
+    matchesTrace("uptane-secondary", tape.str());
+}
+
+TEST_CASE("a manifest tells what runs, each unit under its own key") {
+    std::stringstream tape;
+    const auto primary = SigningKey::generate(Scheme::ed25519), a = SigningKey::generate(Scheme::ecdsaP256),
+               b = SigningKey::generate(Scheme::ed25519);
+    const std::map<std::string, Key> known{{"pods-a", a.key()}, {"pods-b", b.key()}};
+    const uptane::UnitReport one{"pods-a", "releases/42", 42, {{"sha256", "00"}}, start, ""},
+        two{"pods-b", "releases/41", 41, {{"sha256", "11"}}, start, "rollback"};
+    const auto play = [&](const char* what, const Json& manifest) {
+        const auto read = uptane::readManifest(textOf(manifest), primary.key(), known);
+        tape << what << ": ";
+        if (!read) tape << masked(read.refusal().text());
+        else
+            for (const auto& report : *read)
+                tape << report.unit << " runs " << report.path << " (" << report.releaseCounter << ")"
+                     << (report.attack.empty() ? "" : ", saw " + report.attack) << "; ";
+        tape << '\n';
+    };
+    const auto whole =
+        uptane::manifest("register", "n0", {uptane::report(one, a), uptane::report(two, b)}, primary);
+    play("whole", whole);
+    play("by another primary", uptane::manifest("register", "n0", {uptane::report(one, a)}, b));
+    play("a unit under another's key", uptane::manifest("register", "n0", {uptane::report(one, b)}, primary));
+    play("a unit twice",
+         uptane::manifest("register", "n0", {uptane::report(one, a), uptane::report(one, a)}, primary));
+    play("an unknown unit",
+         uptane::manifest("register", "n0", {uptane::report({"pods-c", "x", 1, {}, start, ""}, a)}, primary));
+    auto spoilt = whole;
+    spoilt["signed"]["ecuVersionReports"][0]["signed"]["installedImage"]["releaseCounter"] = 99;
+    play("changed on the way", spoilt);
+    matchesTrace("uptane-manifest", tape.str());
+}
+
+TEST_CASE("what is told of builds: listed, listed no more, withdrawn, run out") {
+    std::stringstream tape;
+    static const char* words[] = {"none", "valid", "withdrawn"};
+    Repository repository;
+    Client client(repository.firstRoot());
+    Builds builds("releases/{build}");
+    for (int build : {41, 42, 43}) builds.named(build);
+    CHECK(!builds.named(42));
+    const auto look = [&](const char* what) {
+        repository.publish();
+        client.update(repository.files, start + 60, builds.paths());
+        tape << what << ":";
+        for (const auto& [build, word] : builds.settled(client.found, start + day))
+            tape << ' ' << build << ' ' << words[static_cast<int>(word)];
+        tape << '\n';
+    };
+    repository.target("targets", "releases/41", "41");
+    repository.target("targets", "releases/42", "42");
+    look("two listed");
+    look("no change");
+    repository.target("targets", "releases/42", "42", {{"withdrawn", true}});
+    look("one marked");
+    removeTarget(repository.role("targets"), "releases/41");
+    repository.redo("targets");
+    look("one gone");
+    repository.target("targets", "releases/42", "42");
+    repository.target("targets", "releases/43", "43");
+    look("back, and another");
+    const auto kept = builds.kept();
+    tape << "kept: " << kept << '\n';
+    Builds restarted("releases/{build}");
+    restarted.restore(kept);
+    restarted.restore("no JSON");
+    tape << "after a restart:";
+    for (const auto& [build, word] : restarted.settled(client.found, start + day))
+        tape << ' ' << build << ' ' << words[static_cast<int>(word)];
+    tape << "\nrun out a second early:";
+    for (const auto& [build, word] : builds.lapsed(start + day - 1))
+        tape << ' ' << build << ' ' << words[static_cast<int>(word)];
+    tape << "\nrun out:";
+    for (const auto& [build, word] : builds.lapsed(start + day))
+        tape << ' ' << build << ' ' << words[static_cast<int>(word)];
+    tape << "\nrun out, again:";
+    for (const auto& [build, word] : builds.lapsed(start + day))
+        tape << ' ' << build << ' ' << words[static_cast<int>(word)];
+    tape << '\n';
+    for (int build = 100; build < 140; ++build) builds.named(build);
+    tape << "looks after " << builds.paths().front() << " to " << builds.paths().back() << ", "
+         << builds.paths().size() << '\n';
+    CHECK_THROWS_AS(Builds("releases"), std::invalid_argument);
+    CHECK_THROWS_AS(Builds("{build}/{build}"), std::invalid_argument);
+    matchesTrace("builds", tape.str());
+}
--- /dev/null
+++ b/tests/stand_ins/repository.hpp
@@ -0,0 +1,173 @@
+// A stand-in repository in memory: keys, documents and files of a TUF repository that a test changes, spoils
+// and publishes as it likes, and a driver that plays a whole update against it without I/O.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <regex>
+#include <sstream>
+
+#include "metadata/authoring.hpp"
+#include "metadata/update.hpp"
+
+namespace stand_ins {
+
+using namespace lichenlanding::metadata;
+
+constexpr UnixSeconds start = 1'800'000'000;
+constexpr UnixSeconds day = 86'400;
+
+// Without what differs from run to run: key ids, and ports.
+inline std::string masked(const std::string& text) {
+    static const std::regex ids("[0-9a-f]{12,}"), ports("127\\.0\\.0\\.1:[0-9]+");
+    return std::regex_replace(std::regex_replace(text, ids, "ID"), ports, "MIRROR");
+}
+
+class MemoryKept : public Kept {
+  public:
+    std::map<std::string, std::string> files;
+    std::optional<std::string> read(const std::string& name) const override {
+        const auto found = files.find(name);
+        return found == files.end() ? std::nullopt : std::optional(found->second);
+    }
+    void take(const std::vector<KeepStep>& steps) {
+        for (const auto& step : steps)
+            for (const auto& [name, bytes] : step.files) {
+                if (bytes) files[name] = *bytes;
+                else files.erase(name);
+            }
+    }
+};
+
+class Repository {
+  public:
+    explicit Repository(bool consistent_ = true, UnixSeconds from_ = stand_ins::start)
+        : consistent(consistent_), start(from_) {
+        root = newRoot(start + 365 * day, consistent);
+        for (const auto* role : {"root", "timestamp", "snapshot", "targets"}) {
+            keys.emplace(role, SigningKey::generate(Scheme::ed25519));
+            addKey(root, role, keys.at(role).key());
+        }
+        roles["targets"] = newTargets(start + 90 * day);
+        snapshot = newSnapshot(start + 7 * day);
+        timestamp = newTimestamp(start + day);
+        publishRoot();
+        publish();
+    }
+
+    // Signs and puts out what has been drafted. Each call makes a new snapshot and timestamp.
+    void publish() {
+        for (auto& [name, envelope] : roles) {
+            sign(envelope, keys.at(name));
+            put(name, versionOf(envelope), textOf(envelope));
+            list(snapshot, name + ".json", listingOf(versionOf(envelope), textOf(envelope), hashed));
+        }
+        if (published_) changed(snapshot, snapshotUntil), changed(timestamp, timestampUntil);
+        published_ = true;
+        sign(snapshot, keys.at("snapshot"));
+        put("snapshot", versionOf(snapshot), textOf(snapshot));
+        publishTimestamp();
+    }
+    void publishTimestamp() {
+        list(timestamp, "snapshot.json", listingOf(versionOf(snapshot), textOf(snapshot), true));
+        timestamp["signatures"] = Json::array();
+        sign(timestamp, keys.at("timestamp"));
+        files["timestamp.json"] = textOf(timestamp);
+    }
+    void publishRoot(const std::vector<const SigningKey*>& more = {}) {
+        sign(root, keys.at("root"));
+        for (const auto* key : more) sign(root, *key);
+        files[std::to_string(versionOf(root)) + ".root.json"] = textOf(root);
+    }
+    // A new key for a role, in a new root; not published yet.
+    void rotate(const std::string& role) {
+        auto old = keys.at(role).key().id();
+        keys.erase(role);
+        keys.emplace(role, SigningKey::generate(Scheme::ed25519));
+        addKey(root, role, keys.at(role).key());
+        removeKey(root, role, old);
+        changed(root, start + 365 * day);
+    }
+    Json& role(const std::string& name) { return roles.at(name); }
+    // A delegated role with a key of its own.
+    Json& make(const std::string& name) {
+        if (!keys.count(name)) keys.emplace(name, SigningKey::generate(Scheme::ed25519));
+        return roles.emplace(name, newTargets(start + 90 * day)).first->second;
+    }
+    void delegateTo(const std::string& from, const std::string& to, std::vector<std::string> paths,
+                    bool terminating = false, std::vector<std::string> prefixes = {}) {
+        make(to);
+        delegate(role(from),
+                 {to, {{keys.at(to).key().id()}, 1}, terminating, std::move(paths), std::move(prefixes)},
+                 {keys.at(to).key()});
+        redo(from);
+    }
+    void target(const std::string& in, const std::string& path, const std::string& bytes,
+                const Json& custom = {}) {
+        addTarget(role(in), path, bytes, custom);
+        contents[path] = bytes;
+        redo(in);
+    }
+    void redo(const std::string& name) {
+        if (published_) changed(role(name), start + 90 * day);
+        else role(name)["signatures"] = Json::array();
+    }
+    void put(const std::string& name, std::int64_t version, const std::string& text) {
+        files[(consistent ? std::to_string(version) + "." : "") + percentEncoded(name) + ".json"] = text;
+    }
+    const std::string& firstRoot() const { return files.at("1.root.json"); }
+
+    bool consistent, hashed = false;
+    UnixSeconds start;                       // what all limits are counted from
+    std::map<std::string, SigningKey> keys;  // by role
+    Json root, snapshot, timestamp;
+    std::map<std::string, Json> roles;  // targets and delegated ones
+    UnixSeconds snapshotUntil = start + 7 * day, timestampUntil = start + day;
+    std::map<std::string, std::string> files, contents;  // as served; targets' bytes by path
+
+  private:
+    bool published_ = false;
+};
+
+// A client: what it keeps, and whole updates against files.
+class Client {
+  public:
+    explicit Client(const std::string& root) { kept.files["root.json"] = root; }
+
+    // "done" with the versions trusted, or the refusal's text.
+    std::string update(const std::map<std::string, std::string>& files, UnixSeconds now = start + 60,
+                       const std::vector<std::string>& paths = {}, Bounds bounds = {}) {
+        auto set = TrustedSet::start(kept.files.at("root.json"), now);
+        if (!set) return set.refusal().text();
+        Update update(std::move(*set), kept, bounds);
+        for (const auto& path : paths) update.lookFor(path);
+        asked.clear();
+        while (update.wants().kind == Update::Want::fetch) {
+            asked.push_back(update.wants().path);
+            const auto file = files.find(update.wants().path);
+            if (file == files.end()) update.missing();
+            else update.came(file->second);
+            kept.take(update.keep());
+        }
+        found = update.found();
+        visited = update.visited();
+        if (update.wants().kind == Update::Want::refused) return update.refusal().text();
+        std::stringstream said;
+        said << "done: root " << update.set().root().version << ", timestamp "
+             << update.set().timestamp()->version << ", snapshot " << update.set().snapshot()->version
+             << ", targets " << update.set().trusted()->version;
+        return said.str();
+    }
+    // "role" that lists the path, or "-".
+    std::string whoLists(const std::string& path) const {
+        const auto at = found.find(path);
+        return at == found.end() ? "not looked for" : at->second ? at->second->role : "-";
+    }
+
+    MemoryKept kept;
+    std::vector<std::string> asked;
+    std::map<std::string, std::optional<Found>> found;
+    int visited = 0;
+};
+
+}  // namespace stand_ins
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -274,3 +274,67 @@
     CHECK(message->groups[0][0].errored == 1);
     CHECK(told(6, Outcome::errored) == 0);
 }
+
+TEST_CASE(
+    "a build that needs signed metadata stays in the first stage without, and goes back once withdrawn") {
+    std::stringstream whole;
+    for (const auto control : {Control::majority, Control::clocked}) {
+        auto told = settings();
+        told.attestationNeeded = true, told.control = control, told.balancers = 1, told.caps = {0.2, 0.6, 1};
+        Scene scene(told);
+        scene.note(control == Control::clocked ? "the clock goes on" : "votes");
+        scene.news(6, 0, Standing::trial, 0.2);
+        for (std::uint32_t id = 1; id <= 4; ++id) scene.pod(id, id <= 2 ? 5 : 6);
+        const auto hits = [&](int count, const char* what) {
+            scene.note(what);
+            scene.quiet = true;
+            int newer = 0;
+            for (int one = 0; one < count; ++one) {
+                scene.go(scene.now + 20 * ms);
+                auto& hit = scene.hit("h" + std::to_string(scene.hits.size()), 0);
+                if (hit.forwards.empty()) continue;
+                newer += hit.forwards.back().build->number == 6;
+                scene.end(hit, Outcome::delivered);
+            }
+            scene.quiet = false;
+            scene.note("of " + std::to_string(count) +
+                       " hits to build 6: " + std::to_string(newer * 100 / count) + "%");
+        };
+        // What is cast shows on the tape; renewals of a vote do too.
+        const auto look = [&](const char* what, Nanos span) {
+            scene.note(what);
+            scene.go(scene.now + span);
+        };
+        hits(400, "good outcomes, no word");
+        look("no vote for it", 2000 * ms);
+        scene.news(6, 1, Standing::trial, 0.6);
+        hits(400, "brought to the second stage all the same");
+        scene.balance->attested(6, Attestation::valid);
+        hits(400, "vouched for");
+        look("now", 2000 * ms);
+        scene.balance->attested(6, Attestation::none);
+        look("run out", 1000 * ms);
+        scene.balance->attested(6, Attestation::withdrawn);
+        look("withdrawn", 1000 * ms);
+        scene.news(6, 2, Standing::released, 1);
+        look("and when it is released", 4000 * ms);
+        whole << scene.tape.str();
+    }
+    matchesTrace("attested", whole.str());
+}
+
+TEST_CASE("where no signed metadata are needed their word changes nothing") {
+    std::string tapes[2];
+    for (const bool told : {false, true}) {
+        Scene scene;
+        scene.news(6, 0, Standing::trial, 0.5);
+        scene.pod(1, 5), scene.pod(2, 6);
+        if (told) scene.balance->attested(6, Attestation::withdrawn);
+        for (int one = 0; one < 200; ++one) {
+            scene.go(scene.now + 20 * ms);
+            scene.pass("h" + std::to_string(one), 0);
+        }
+        tapes[told] = scene.tape.str();
+    }
+    CHECK(tapes[0] == tapes[1]);
+}
