--- /dev/null
+++ b/bench/metadata.cpp
@@ -0,0 +1,190 @@
+// Signed metadata: what a refresh, a look-up and a verification cost, and what the index for delegations
+// gains over walking them. 100,000 targets in 16,384 hash bins, as a large installation has them.
+#include <benchmark/benchmark.h>
+#include <sys/resource.h>
+
+#include <iterator>
+
+#include "../tests/stand_ins/repository.hpp"
+
+using namespace stand_ins;
+
+namespace {
+
+constexpr int bits = 14, targetCount = 100'000;
+
+double peakMegabytes() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    return static_cast<double>(used.ru_maxrss) / 1024;
+}
+
+std::string pathOf(int target) { return "files/" + std::to_string(target) + ".json"; }
+
+// Bins by name, signed once with one key.
+struct BinRepository {
+    BinRepository() {
+        const auto key = SigningKey::generate(Scheme::ed25519);
+        const Bins bins{{{key.key().id()}, 1}, bits, "bin"};
+        std::map<std::string, std::vector<int>> byBin;
+        for (int target = 0; target < targetCount; ++target)
+            byBin[bins.roleOf(digest("sha256", pathOf(target)))].push_back(target);
+        delegateBins(top.role("targets"), bins, {key.key()});
+        top.redo("targets");
+        for (const auto& [name, targets] : byBin) {
+            auto envelope = newTargets(start + 90 * day);
+            for (const auto target : targets) addTarget(envelope, pathOf(target), "bytes");
+            sign(envelope, key);
+            top.put(name, 1, textOf(envelope));
+            list(top.snapshot, name + ".json", listingOf(1, "", false));
+        }
+        top.publish();
+    }
+    Repository top;
+};
+
+const BinRepository& bins() {
+    static const BinRepository made;
+    return made;
+}
+
+// From nothing: root, timestamp, a snapshot of 16,385 roles, targets, and one bin.
+void refreshOfBins(benchmark::State& state) {
+    const auto& files = bins().top.files;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        Client client(bins().top.firstRoot());
+        benchmark::DoNotOptimize(client.update(files, start + 60, {pathOf(7)}));
+        if (client.whoLists(pathOf(7)) == "-") state.SkipWithError("not found");
+        bytes = 0;
+        for (const auto& name : client.asked)
+            if (files.count(name)) bytes += files.at(name).size();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+    state.counters["peak_MB"] = peakMegabytes();
+}
+
+// Nothing new: the timestamp alone is fetched, the rest is read from what is kept.
+void refreshWithoutNews(benchmark::State& state) {
+    Client client(bins().top.firstRoot());
+    client.update(bins().top.files, start + 60, {pathOf(7)});
+    for (auto _ : state) benchmark::DoNotOptimize(client.update(bins().top.files, start + 60, {pathOf(7)}));
+}
+
+// 100 targets in an update that has been accepted: each its own bin.
+void lookUps(benchmark::State& state) {
+    const auto& files = bins().top.files;
+    for (auto _ : state) {
+        state.PauseTiming();
+        Client client(bins().top.firstRoot());
+        auto set = TrustedSet::start(bins().top.firstRoot(), start);
+        Update update(std::move(*set), client.kept);
+        const auto drive = [&] {
+            while (update.wants().kind == Update::Want::fetch) {
+                const auto file = files.find(update.wants().path);
+                if (file == files.end()) update.missing();
+                else update.came(file->second);
+                client.kept.take(update.keep());
+            }
+        };
+        drive();
+        state.ResumeTiming();
+        for (int target = 0; target < 100; ++target) update.lookFor(pathOf(target * 977));
+        drive();
+        if (update.wants().kind != Update::Want::done) state.SkipWithError("refused");
+    }
+    state.SetItemsProcessed(state.iterations() * 100);
+}
+
+// All 100,000 in one role.
+void readOneRole(benchmark::State& state) {
+    auto envelope = newTargets(start + day);
+    for (int target = 0; target < targetCount; ++target) addTarget(envelope, pathOf(target), "bytes");
+    const auto key = SigningKey::generate(Scheme::ed25519);
+    sign(envelope, key);
+    const auto text = textOf(envelope);
+    for (auto _ : state) {
+        const auto read = Envelope::read(text, "targets", "targets", text.size());
+        if (!read || !Targets::read(*read, "targets")) state.SkipWithError("refused");
+    }
+    state.SetBytesProcessed(static_cast<std::int64_t>(state.iterations() * text.size()));
+    state.counters["peak_MB"] = peakMegabytes();
+}
+
+void verifications(benchmark::State& state) {
+    const auto key = SigningKey::generate(static_cast<Scheme>(state.range(0)));
+    const std::string message(1024, 'm');
+    const auto signature = key.sign(message);
+    for (auto _ : state)
+        if (!key.key().verifies(message, signature)) state.SkipWithError("not verified");
+    state.SetItemsProcessed(state.iterations());
+}
+
+// One role that delegates by hash prefix to as many roles as there are bins: the index, and a walk over all.
+struct Delegated {
+    explicit Delegated(int count, bool byPattern) {
+        int digits = 0;
+        while ((1 << (4 * digits)) < count) ++digits;
+        for (int role = 0; role < count; ++role) {
+            std::string prefix(static_cast<std::size_t>(digits), '0');
+            for (int digit = 0; digit < digits; ++digit)
+                prefix[static_cast<std::size_t>(digits - 1 - digit)] =
+                    "0123456789abcdef"[role >> (4 * digit) & 15];
+            if (byPattern)
+                patterns.push_back({"team" + std::to_string(role) + "/*/file-?.json"}),
+                    prefixes.emplace_back();
+            else patterns.emplace_back(), prefixes.push_back({prefix});
+            index.add(static_cast<std::uint32_t>(role), patterns.back(), prefixes.back());
+        }
+        index.seal();
+        for (int look = 0; look < 1000; ++look) {
+            paths.push_back("team" + std::to_string(look * 7919 % count) + "/x/file-1.json");
+            hashes.push_back(digest("sha256", paths.back()));
+        }
+    }
+    std::vector<std::uint32_t> walk(const std::string& path, const std::string& hash) const {
+        std::vector<std::uint32_t> found;
+        for (std::uint32_t role = 0; role < patterns.size(); ++role) {
+            bool is = false;
+            for (const auto& pattern : patterns[role]) is = is || patternMatches(pattern, path);
+            for (const auto& digits : prefixes[role]) is = is || hash.compare(0, digits.size(), digits) == 0;
+            if (is) found.push_back(role);
+        }
+        return found;
+    }
+    std::vector<std::vector<std::string>> patterns, prefixes;
+    DelegationIndex index;
+    std::vector<std::string> paths, hashes;
+};
+
+void delegationsByIndex(benchmark::State& state) {
+    const Delegated made(static_cast<int>(state.range(0)), state.range(1));
+    std::size_t at = 0;
+    for (auto _ : state) {
+        if (made.index.matching(made.paths[at], made.hashes[at]).size() > 1) state.SkipWithError("too many");
+        at = (at + 1) % made.paths.size();
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+void delegationsByWalk(benchmark::State& state) {
+    const Delegated made(static_cast<int>(state.range(0)), state.range(1));
+    std::size_t at = 0;
+    for (auto _ : state) {
+        const auto found = made.walk(made.paths[at], made.hashes[at]);
+        if (found != made.index.matching(made.paths[at], made.hashes[at])) state.SkipWithError("they differ");
+        at = (at + 1) % made.paths.size();
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+}  // namespace
+
+BENCHMARK(delegationsByIndex)->ArgsProduct({{16, 1024, 16384}, {0, 1}});
+BENCHMARK(delegationsByWalk)->ArgsProduct({{16, 1024, 16384}, {0, 1}});
+BENCHMARK(verifications)->Arg(0)->Arg(1)->Arg(2);
+BENCHMARK(refreshOfBins)->Unit(benchmark::kMillisecond);
+BENCHMARK(refreshWithoutNews)->Unit(benchmark::kMillisecond);
+BENCHMARK(lookUps)->Unit(benchmark::kMillisecond);
+BENCHMARK(readOneRole)->Unit(benchmark::kMillisecond);
+BENCHMARK_MAIN();
--- a/src/command/command.cpp
+++ b/src/command/command.cpp
@@ -20,6 +20,7 @@
     metadata->require_subcommand(1);
     addMetadataClient(*metadata, chosen);
     addMetadataRepository(*metadata, chosen);
+    addMetadataManifest(*metadata, chosen);
     addMetadataInspect(*metadata, chosen);
     try {
         app.parse(argc, argv);
--- a/src/command/command.hpp
+++ b/src/command/command.hpp
@@ -17,6 +17,7 @@
 void addServe(CLI::App& app, Chosen& chosen);
 void addMetadataClient(CLI::App& metadata, Chosen& chosen);
 void addMetadataRepository(CLI::App& metadata, Chosen& chosen);
+void addMetadataManifest(CLI::App& metadata, Chosen& chosen);
 void addMetadataInspect(CLI::App& metadata, Chosen& chosen);
 
 int run(int argc, char** argv);
--- a/src/metadata/trusted_set.hpp
+++ b/src/metadata/trusted_set.hpp
@@ -16,6 +16,9 @@
 // Bounds of one document, in bytes. A listed length goes before the last two.
 struct Sizes {
     std::size_t root = 512'000, timestamp = 16'384, snapshot = 16'000'000, targets = 32'000'000;
+
+    // For a process of little memory: while a document is read it takes up to 16 times its size.
+    static constexpr Sizes small(std::size_t bytes = 4'000'000) { return {512'000, 16'384, bytes, bytes}; }
 };
 
 class TrustedSet {
--- a/src/net/trust.cpp
+++ b/src/net/trust.cpp
@@ -14,6 +14,8 @@
 
 constexpr Nanos second = 1'000'000'000;
 constexpr const char* listedFile = "state/builds";  // no role's file: those end in ".json"
+constexpr const char* clockFile = "state/clock";    // when an update was last accepted
+constexpr UnixSeconds clockKeptEvery = 60;
 
 std::string wholeFile(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
@@ -61,11 +63,13 @@
       targetBases_(urlsOf(config.targets)),
       targetMirrors_(mirrorsOf(config.targets, seed + 1)),
       mostTarget_(config.serveBytes / 4),
+      sizes_(config.sizes),
       patience_(config.patience),
       due_(loop, [this] { refresh(); }),
-      lapses_(loop, [this] { lapse(); }),
-      worker_(std::in_place, loop) {
+      lapses_(loop, [this] { lapse(); }) {
+    if (config.thread) worker_.emplace(loop);
     open(images_, config.root, config.folder);
+    startClock();
     if (config.director) {
         director_ = repositoryOf(config.director->metadata, seed + 2);
         open(*director_, config.director->root, config.folder.empty() ? "" : config.folder + "/director");
@@ -89,7 +93,7 @@
     }
     if (!repository.store) repository.store = TrustStore::inMemory();
     std::string said;
-    const auto set = repository.store->start(repository.shippedRoot, clock(), said);
+    const auto set = repository.store->start(repository.shippedRoot, clock(), said, sizes_);
     if (!set) throw std::runtime_error("the root of " + rootFile + ": " + set.refusal().text());
     log(Kind::metadata, said);
 }
@@ -97,6 +101,27 @@
 // Steps of the wall clock while the sidecar runs change nothing: what has expired stays so.
 UnixSeconds Trust::clock() const { return (loop_.now() + wallOffset_) / second; }
 
+// Nor does a clock that was set back while it did not run: time goes on from the last accepted update. That
+// time lay before the end of a timestamp that was valid then, so a clock that was wrong once does no lasting
+// harm.
+void Trust::startClock() {
+    const auto kept = images_.store->read(clockFile);
+    const auto seen = kept ? readTime(*kept) : std::nullopt;
+    clockKept_ = seen.value_or(0);
+    if (!seen || *seen <= clock()) return;
+    log(Kind::metadata,
+        "the clock is " + std::to_string(*seen - clock()) + " s behind the last update's time, which counts");
+    wallOffset_ = *seen * second - loop_.now();
+}
+
+void Trust::keepClock() {
+    if (clock() < clockKept_ + clockKeptEvery) return;
+    KeepStep step;
+    step.files.emplace_back(clockFile, timeText(clock()));
+    if (const auto trouble = images_.store->commit(step)) return log(Kind::metadata, trouble->text());
+    clockKept_ = clock();
+}
+
 void Trust::start() { due_.in(0); }
 
 void Trust::named(int build) {
@@ -138,7 +163,7 @@
 
 void Trust::ask(Repository& of, const std::vector<std::string>& paths, std::function<void(Refresh&)> then) {
     std::string said;
-    auto set = of.store->start(of.shippedRoot, clock(), said);
+    auto set = of.store->start(of.shippedRoot, clock(), said, sizes_);
     if (!set) return over(set.refusal(), 0);
     Update update(std::move(*set), *of.store);
     for (const auto& path : paths) update.lookFor(path);
@@ -199,6 +224,7 @@
         if (!lastRefusal_.empty()) log(Kind::metadata, "accepted again");
         lastRefusal_.clear();
         lasts_ = expires;
+        keepClock();
         lapses_.in(std::max<Nanos>(0, (expires - clock()) * second));
     }
     if (stopped_) return;
--- a/src/net/trust.hpp
+++ b/src/net/trust.hpp
@@ -45,6 +45,9 @@
     void open(Repository& repository, const std::string& rootFile, const std::string& folder);
     metadata::UnixSeconds clock() const;  // the wall's, by an offset taken at the start
 
+    void startClock();
+    void keepClock();
+
     void refresh();
     void ask(Repository& of, const std::vector<std::string>& paths, std::function<void(Refresh&)> then);
     void director(Refresh& over);
@@ -59,6 +62,7 @@
     Loop& loop_;
     Told told_;
     Nanos wallOffset_;
+    metadata::UnixSeconds clockKept_ = 0;
     metadata::Builds builds_;
     metadata::Rhythm rhythm_;
     std::uint32_t seed_;
@@ -68,6 +72,7 @@
     std::vector<Url> targetBases_;
     metadata::Mirrors targetMirrors_;
     std::size_t mostTarget_;
+    metadata::Sizes sizes_;
     metadata::Patience patience_;
     Counts counts_;
     std::string lastRefusal_;
--- a/src/net/trust_config.cpp
+++ b/src/net/trust_config.cpp
@@ -107,6 +107,13 @@
     std::int64_t answer = config.patience.within / 1'000'000;
     fields.count("answerMs", 50, 3'600'000, answer);
     config.patience.within = answer * 1'000'000;
+    std::int64_t megabytes = 4;
+    fields.count("documentMegabytes", 1, 64, megabytes);
+    config.sizes = metadata::Sizes::small(static_cast<std::size_t>(megabytes) * 1'000'000);
+    if (const auto* thread = fields.find("thread")) {
+        if (!thread->is_boolean()) fields.wrong("thread", "true or false is wanted");
+        config.thread = thread->get<bool>();
+    }
     if (const auto* serve = fields.find("serve")) {
         Fields inner(*serve, path + ": serve.");
         try {
@@ -114,11 +121,11 @@
         } catch (const std::invalid_argument& no) {
             inner.wrong("listen", no.what());
         }
-        std::int64_t connections = 64, megabytes = 32;
+        std::int64_t connections = 64, held = 32;
         inner.count("connections", 1, 4096, connections);
-        inner.count("megabytes", 1, 4096, megabytes);
+        inner.count("megabytes", 1, 4096, held);
         config.serveConnections = static_cast<std::size_t>(connections);
-        config.serveBytes = static_cast<std::size_t>(megabytes) << 20;
+        config.serveBytes = static_cast<std::size_t>(held) << 20;
         inner.end();
     }
     if (const auto* director = fields.find("director")) {
--- a/src/net/trust_config.hpp
+++ b/src/net/trust_config.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "metadata/mirrors.hpp"
+#include "metadata/trusted_set.hpp"
 #include "net/fetch.hpp"
 
 namespace lichenlanding::net {
@@ -20,10 +21,12 @@
     std::string root;    // file of the shipped root
     std::string folder;  // that keeps what is trusted; empty: no disk lasts
     std::vector<MirrorUrl> metadata, targets;
-    std::string builds;                // "releases/{build}"
-    metadata::Rhythm::Figures rhythm;  // "refreshMs"
-    metadata::Patience patience;       // "answerMs"
-    std::optional<Address> serve;      // as a mirror to others
+    std::string builds;                                // "releases/{build}"
+    metadata::Rhythm::Figures rhythm;                  // "refreshMs"
+    metadata::Sizes sizes = metadata::Sizes::small();  // "documentMegabytes", of a snapshot or targets
+    bool thread = true;                                // verify beside the loop
+    metadata::Patience patience;                       // "answerMs"
+    std::optional<Address> serve;                      // as a mirror to others
     std::size_t serveConnections = 64, serveBytes = 32u << 20;
     struct Director {
         std::string root;
--- a/src/net/trust_store.cpp
+++ b/src/net/trust_store.cpp
@@ -38,13 +38,14 @@
     return {};
 }
 
-Result<TrustedSet> TrustStore::start(const std::string& shippedRoot, UnixSeconds now, std::string& said) {
+Result<TrustedSet> TrustStore::start(const std::string& shippedRoot, UnixSeconds now, std::string& said,
+                                     const Sizes& sizes) {
     const auto bytes = read("root.json");
-    auto kept =
-        bytes ? TrustedSet::start(*bytes, now) : Result<TrustedSet>(Refusal{Reason::notFound, "root", 0, {}});
+    auto kept = bytes ? TrustedSet::start(*bytes, now, sizes)
+                      : Result<TrustedSet>(Refusal{Reason::notFound, "root", 0, {}});
     auto shipped = shippedRoot.empty()
                        ? Result<TrustedSet>(Refusal{Reason::notFound, "root", 0, "none is shipped"})
-                       : TrustedSet::start(shippedRoot, now);
+                       : TrustedSet::start(shippedRoot, now, sizes);
     const auto version = [](const auto& set) { return std::to_string(set->root().version); };
     if (kept && (!shipped || shipped->root().version <= kept->root().version)) {
         said = "starts from the kept root, version " + version(kept);
--- a/src/net/trust_store.hpp
+++ b/src/net/trust_store.hpp
@@ -18,7 +18,7 @@
     // The root to start from: the kept one, or the shipped one if that is newer, or the other cannot be read.
     // A shipped root that is taken is kept at once. `said` tells a person which was taken, and why.
     metadata::Result<metadata::TrustedSet> start(const std::string& shippedRoot, metadata::UnixSeconds now,
-                                                 std::string& said);
+                                                 std::string& said, const metadata::Sizes& sizes = {});
 
   private:
     std::unique_ptr<store::PosixDisk> disk_;
--- /dev/null
+++ b/tests/fuzz/metadata.cpp
@@ -0,0 +1,145 @@
+// libFuzzer's way into what reads bytes from outside: strict JSON, documents, and the trusted set behind
+// signatures (the input is the document, and the harness signs it with the role's key, or nothing would ever
+// get past the verification). Without libFuzzer, seeded mutations of real documents run the same function in
+// CI.
+#include <cstdint>
+#include <cstdlib>
+
+#include "../stand_ins/repository.hpp"
+#include "metadata/uptane.hpp"
+
+using namespace stand_ins;
+
+namespace {
+
+struct World {
+    World() {
+        repository.delegateTo("targets", "rel", {"releases/*"});
+        repository.target("rel", "releases/1", "one");
+        repository.publish();
+    }
+    TrustedSet upTo(int roles) const {
+        auto set = TrustedSet::start(repository.firstRoot(), start);
+        if (roles > 0) set->timestamp(repository.files.at("timestamp.json"));
+        if (roles > 1) set->snapshot(repository.files.at("2.snapshot.json"));
+        if (roles > 2) set->targets(repository.files.at("2.targets.json"));
+        return *set;
+    }
+    Repository repository;
+};
+
+void insist(bool holds) {
+    if (!holds) std::abort();
+}
+
+void asDocument(const World& world, std::string_view bytes, int which) {
+    static constexpr const char* roles[] = {"root", "timestamp", "snapshot", "targets"};
+    auto document = readJson(bytes, 1 << 16);
+    if (!document) return;
+    Json envelope = {{"signatures", Json::array()}, {"signed", *document}};
+    sign(envelope, world.repository.keys.at(roles[which]));
+    const auto text = textOf(envelope);
+    auto set = world.upTo(which == 0 ? 0 : which - 1);
+    const auto before = std::make_pair(set.root().version, set.timestamp() ? set.timestamp()->version : 0);
+    const auto refusal = which == 0   ? set.root(text)
+                         : which == 1 ? set.timestamp(text)
+                         : which == 2 ? set.snapshot(text)
+                                      : set.targets(text);
+    if (refusal)
+        insist(before == std::make_pair(set.root().version, set.timestamp() ? set.timestamp()->version : 0));
+    else insist(which != 0 || set.root().version == before.first + 1);
+    // The typed readers alone, too: whatever they accept can be walked.
+    const auto read = Envelope::read(text, roles[which], roles[which], 1 << 17);
+    if (!read) return;
+    if (const auto root = Root::read(*read)) insist(root->roles.size() == 4);
+    if (const auto targets = Targets::read(*read, "targets")) {
+        for (const auto& step : targets->rolesFor("releases/1"))
+            insist(targets->signersOf(step.role) != nullptr);
+        (void)uptane::directives(*targets);
+    }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    static const World world;
+    if (size == 0) return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    const int which = data[0] % 6;
+    if (which < 4) {
+        asDocument(world, bytes, which);
+    } else if (which == 4) {
+        // What canonical form accepts once, it writes the same again.
+        if (const auto json = readJson(bytes, 1 << 16)) {
+            const auto again = readJson(json->dump(), 1 << 17);
+            insist(again && canonical(*again) == canonical(*json));
+        }
+    } else {
+        const auto key = world.repository.keys.at("root").key();
+        (void)uptane::readManifest(bytes, key, {{"unit", key}});
+        (void)readTime(bytes);
+        (void)patternMatches(bytes.substr(0, bytes.size() / 2), bytes.substr(bytes.size() / 2));
+    }
+    return 0;
+}
+
+#ifdef LICHENLANDING_SEEDED
+#include <cstdio>
+#include <random>
+
+// Mutations of real documents, the same ones each time.
+int main() {
+    const World world;
+    std::vector<std::string> seeds;
+    static constexpr const char* files[] = {"1.root.json", "timestamp.json", "2.snapshot.json",
+                                            "2.targets.json"};
+    for (int which = 0; which < 4; ++which) {
+        const auto whole = readJson(world.repository.files.at(files[which]), 1 << 20);
+        seeds.push_back(std::string(1, static_cast<char>(which)) + (*whole)["signed"].dump());
+    }
+    seeds.push_back("\x04{\"a\":[1,{\"b\":\"\\u00e9\"}],\"c\":-9223372036854775808}");
+    seeds.push_back("\x05{\"signed\":{\"ecuVersionReports\":[]},\"signatures\":[]}");
+    std::mt19937 chance(17);
+    const std::string_view words[] = {"\"version\":2",
+                                      "\"_type\":\"root\"",
+                                      "[",
+                                      "]",
+                                      "{",
+                                      "}",
+                                      "-1",
+                                      "9223372036854775807",
+                                      "\"\"",
+                                      "null",
+                                      "\"threshold\":0",
+                                      "\"*\"",
+                                      "\xf0\x9f\x98\x80",
+                                      "\\ud800",
+                                      "1e400"};
+    constexpr int rounds = 20'000;
+    for (int round = 0; round < rounds; ++round) {
+        auto input = seeds[chance() % seeds.size()];
+        for (auto times = 1 + chance() % 6; times > 0; --times) {
+            const auto at = 1 + chance() % input.size();
+            switch (chance() % 4) {
+                case 0:
+                    if (at < input.size()) input[at] = static_cast<char>(chance());
+                    break;
+                case 1:
+                    input.insert(std::min(at, input.size()), words[chance() % std::size(words)]);
+                    break;
+                case 2:
+                    if (at < input.size()) input.erase(at, 1 + chance() % 12);
+                    break;
+                default: {
+                    const auto from = 1 + chance() % input.size();
+                    const auto piece = input.substr(std::min(from, input.size()), chance() % 40);
+                    input.insert(std::min(at, input.size()), piece);
+                }
+            }
+        }
+        LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(input.data()), input.size());
+    }
+    std::printf("%d mutated inputs, none broke an invariant\n", rounds);
+    return 0;
+}
+#endif
--- a/tests/metadata/sidecar.cpp
+++ b/tests/metadata/sidecar.cpp
@@ -416,6 +416,24 @@
     CHECK(town.nextRefresh().substr(0, 19) == "timestamp: rollback");
 }
 
+TEST_CASE("a clock that was set back does not bring an expired set to life again") {
+    TrustTown town;
+    town.trust->folder = town.folder;
+    town.start(1);
+    CHECK(town.nextRefresh().empty());
+    town.sidecar.reset();
+    // As if the last update had been accepted a day and a second later: the clock has been set back since.
+    std::ofstream(town.folder + "/state/clock") << timeText(wall() + day + 1);
+    town.pods.clear();
+    town.start(1);
+    CHECK(town.nextRefresh().substr(0, 18) == "timestamp: expired");
+    town.sidecar.reset();
+    std::ofstream(town.folder + "/state/clock") << "no time";
+    town.pods.clear();
+    town.start(1);
+    CHECK(town.nextRefresh().empty());
+}
+
 TEST_CASE("a folder that fills up while it serves: refused, and the old trust in force") {
     TrustTown town;
     town.trust->folder = town.folder;
