--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer types. deploy/balancer.toml holds what operators run.
-.PHONY: build test sanitize lint run clean
+.PHONY: build test sanitize bench fuzz lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -16,6 +16,18 @@
 	cmake --build build-asan -j4
 	ctest --test-dir build-asan --output-on-failure
 
+bench:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DLICHENLANDING_BENCH=ON
+	cmake --build build-bench -j4
+	build-bench/lichenlanding_bench_metadata
+	build-bench/lichenlanding_bench_refresh
+
+fuzz:
+	cmake -B build-fuzz -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_COMPILER=clang++ -DLICHENLANDING_FUZZ=ON "-DCMAKE_CXX_FLAGS=-fsanitize=fuzzer-no-link,address,undefined"
+	cmake --build build-fuzz -j4 --target lichenlanding_fuzz_metadata
+	mkdir -p build-fuzz/corpus
+	build-fuzz/lichenlanding_fuzz_metadata -max_total_time=120 -max_len=4096 build-fuzz/corpus
+
 lint:
 	clang-format --dry-run -Werror $$(git ls-files '*.cpp' '*.hpp')
 	cppcheck --quiet --std=c++20 --error-exitcode=1 --enable=warning,performance --inline-suppr --suppress=internalAstError -Isrc src
@@ -24,4 +36,4 @@
 	exec build/lichenlanding
 
 clean:
-	rm -rf build build-tests build-asan
+	rm -rf build build-tests build-asan build-bench build-fuzz
--- a/bench/refresh_and_hits.cpp
+++ b/bench/refresh_and_hits.cpp
@@ -35,7 +35,7 @@
 constexpr const char* names[] = {"off", "on", "on, in the loop"};
 
 struct Ports {
-    std::uint16_t pods, mirror;
+    std::uint16_t pods = 0, mirror = 0;
 };
 
 // An evhttp server on a free port.
@@ -87,10 +87,20 @@
     waitpid(one, nullptr, 0);
 }
 
-std::pair<pid_t, Ports> world(const std::string& rootFile) {
+std::pair<pid_t, std::uint16_t> pods() {
+    return child<std::uint16_t>([](auto told) {
+        Loop loop;
+        Server server(loop, [](auto* call) { Server::answer(call, 200, "body"); });
+        told(server.port);
+        loop.run();
+    });
+}
+
+// The mirror alone: making a new set takes it longer than a pod may stand still.
+std::pair<pid_t, std::uint16_t> mirrorOf(const std::string& rootFile) {
     stand_ins::Repository repository(true, wall());
     std::ofstream(rootFile) << repository.firstRoot();
-    return child<Ports>([&](auto told) {
+    return child<std::uint16_t>([&](auto told) {
         Loop loop;
         int round = 0;
         const auto renew = [&] {
@@ -108,14 +118,13 @@
             again.in(1000 * ms);
         });
         again.in(1000 * ms);
-        Server pods(loop, [](auto* call) { Server::answer(call, 200, "body"); });
         Server mirror(loop, [&](auto* call) {
             const std::string uri = evhttp_request_get_uri(call);
             const auto file = repository.files.find(uri.substr(uri.rfind('/') + 1));
             if (file == repository.files.end()) Server::answer(call, 404, "");
             else Server::answer(call, 200, file->second);
         });
-        told(Ports{pods.port, mirror.port});
+        told(mirror.port);
         loop.run();
     });
 }
@@ -214,7 +223,9 @@
     int* wanted[] = {&rate, &seconds, &pairs, &targets};
     for (int one = 1; one < argc && one <= 4; ++one) *wanted[one - 1] = std::max(1, std::atoi(argv[one]));
     const std::string rootFile = "/tmp/lichenlanding-bench-" + std::to_string(getpid());
-    const auto [worldPid, ports] = world(rootFile);
+    const auto [podsPid, podsPort] = pods();
+    const auto [mirrorPid, mirrorPort] = mirrorOf(rootFile);
+    const Ports ports{podsPort, mirrorPort};
     std::vector<double> medians[3], highs[3], worst[3];
     std::printf("%d hits a second, %d s a run, %d targets listed, a new set each second\n", rate, seconds,
                 targets);
@@ -233,7 +244,7 @@
         std::printf("%s against off, the runs' middles: median %.2f, 99th %.2f, worst %.2f\n", names[how],
                     middle(medians[how]) / middle(medians[off]), middle(highs[how]) / middle(highs[off]),
                     middle(worst[how]) / middle(worst[off]));
-    ended(worldPid);
+    ended(podsPid), ended(mirrorPid);
     const auto removed = std::system(("rm -rf " + rootFile + " " + rootFile + ".trust").c_str());
     return removed == 0 ? 0 : 1;
 }
--- a/tests/metadata/sidecar.cpp
+++ b/tests/metadata/sidecar.cpp
@@ -332,7 +332,8 @@
     const auto base = net::Url{mirror->address(), "/metadata"};
     int done = 0, refused = 0;
     struct Other {
-        metadata::Mirrors mirrors;
+        explicit Other(const net::Url& base) : bases{base} {}
+        metadata::Mirrors mirrors{{"sidecar"}, 1};
         std::vector<net::Url> bases;
         std::unique_ptr<net::TrustStore> store = net::TrustStore::inMemory();
         net::FetchCounts counts;
@@ -342,7 +343,7 @@
     std::vector<std::unique_ptr<RawClient>> silent;
     for (int one = 0; one < 4; ++one) silent.push_back(std::make_unique<RawClient>(mirror->address()));
     for (int one = 0; one < 30; ++one) {
-        auto& other = *others.emplace_back(std::make_unique<Other>(Other{{{"sidecar"}, 1}, {base}}));
+        auto& other = *others.emplace_back(std::make_unique<Other>(base));
         std::string said;
         auto set = other.store->start(town.repository.firstRoot(), wall(), said);
         REQUIRE(set);
