A reload never changes mirrors under a refresh; rotated keys tested across a cut

Reading the change again: a reload with fewer mirrors while a document was out left the refresh with an index behind the list's end. The new file now waits until nothing is under way, while draining or dropped mirrors get nothing new at once; its test holds a document through a reload.

--- a/src/net/trust.cpp
+++ b/src/net/trust.cpp
@@ -130,7 +130,27 @@
     else if (counts_.refreshes > 0) due_.in(0);
 }
 
+// What is under way holds on to the mirrors of before: it ends first. But from now on nothing new goes to one
+// that drains, or that the file names no more.
 void Trust::reload(const TrustConfig& config) {
+    const auto drain = [](Mirrors& mirrors, const std::vector<Url>& bases,
+                          const std::vector<MirrorUrl>& now) {
+        for (std::size_t at = 0; at < bases.size(); ++at)
+            mirrors.drains(at, std::none_of(now.begin(), now.end(), [&](auto& one) {
+                               return one.url.text() == bases[at].text() && !one.draining;
+                           }));
+    };
+    drain(images_.mirrors, images_.bases, config.metadata);
+    drain(targetMirrors_, targetBases_, config.targets);
+    if (director_ && config.director) drain(director_->mirrors, director_->bases, config.director->metadata);
+    next_ = config;
+    soon_ = true;
+    takeNext();
+}
+
+void Trust::takeNext() {
+    if (!next_ || refresh_ || download_ || stopped_) return;
+    const auto config = *std::exchange(next_, std::nullopt);
     rhythm_ = Rhythm(config.rhythm, seed_ + 3);
     images_.mirrors = mirrorsOf(config.metadata, seed_);
     images_.bases = urlsOf(config.metadata);
@@ -141,9 +161,7 @@
         director_->bases = urlsOf(config.director->metadata);
     }
     log(Kind::metadata, "reloads: " + std::to_string(images_.bases.size()) + " mirrors");
-    // What is under way ends first: it holds on to the mirrors of before no longer than its next document.
-    if (refresh_) soon_ = true;
-    else due_.in(0);
+    due_.in(0);
 }
 
 void Trust::stop() {
@@ -231,6 +249,7 @@
     const auto lasts = std::max<Nanos>(0, (lasts_ - clock()) * second);
     const auto wait = refusal ? rhythm_.afterFailure(lasts) : rhythm_.afterSuccess(lasts);
     due_.in(soon_ && !refusal ? 0 : wait);
+    takeNext();
 }
 
 void Trust::tell(const std::vector<Builds::Word>& words) {
@@ -294,6 +313,7 @@
             loop_.later([this] { nextDownload(); });
         });
     }
+    takeNext();
 }
 
 }  // namespace lichenlanding::net
--- a/src/net/trust.hpp
+++ b/src/net/trust.hpp
@@ -58,6 +58,7 @@
     void publish(const metadata::Update& update);
     void download(const metadata::Found& found, bool consistent);
     void nextDownload();
+    void takeNext();
 
     Loop& loop_;
     Told told_;
@@ -83,7 +84,8 @@
     std::unique_ptr<Refresh> refresh_;
     std::unique_ptr<Download> download_;
     std::deque<std::pair<metadata::Found, bool>> downloads_;
-    std::optional<Worker> worker_;  // last: its job touches what is above
+    std::optional<TrustConfig> next_;  // taken once nothing is under way
+    std::optional<Worker> worker_;     // last: its job touches what is above
 };
 
 }  // namespace lichenlanding::net
--- a/src/net/trust_config.cpp
+++ b/src/net/trust_config.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "metadata/builds.hpp"
+
 namespace lichenlanding::net {
 namespace {
 
@@ -100,6 +102,11 @@
     config.metadata = fields.mirrors("metadata", true);
     config.targets = fields.mirrors("targets", false);
     config.builds = fields.text("builds", true);
+    try {
+        metadata::Builds{config.builds};
+    } catch (const std::invalid_argument& no) {
+        fields.wrong("builds", no.what());
+    }
     std::int64_t every = config.rhythm.every / 1'000'000;
     fields.count("refreshMs", 100, 86'400'000, every);
     config.rhythm.every = every * 1'000'000;
--- a/tests/metadata/sidecar.cpp
+++ b/tests/metadata/sidecar.cpp
@@ -311,6 +311,32 @@
     town.allAnswered();
 }
 
+TEST_CASE("a new file while a document is out: it ends first, and then fewer mirrors are asked") {
+    TrustTown town(3);
+    for (auto& script : town.scripts)
+        script = [](auto& at, auto* call, auto&) { return at.hold(call), true; };
+    town.trust->patience.within = 5000 * ms;
+    town.start(1);
+    const auto held = [&] {
+        for (std::size_t one = 0; one < 3; ++one)
+            if (!town.mirrors[one]->held.empty()) return static_cast<int>(one);
+        return -1;
+    };
+    town.until([&] { return held() >= 0; });
+    const auto asked = static_cast<std::size_t>(held()), kept = (asked + 1) % 3, dropped = (asked + 2) % 3;
+    auto config = *town.trust;
+    config.metadata = {town.trust->metadata[kept]}, config.targets = {town.trust->targets[kept]};
+    town.sidecar->reload(config);
+    for (auto& script : town.scripts) script = nullptr;
+    town.mirrors[asked]->answerHeld(500, "");
+    CHECK(town.nextRefresh().empty());
+    CHECK(town.mirrors[asked]->seen.size() == 1);
+    CHECK(town.mirrors[dropped]->seen.empty());
+    CHECK(!town.mirrors[kept]->seen.empty());
+    town.hits(3);
+    town.allAnswered();
+}
+
 TEST_CASE("a sidecar serves on what it has verified, whole sets, bounded, while it takes hits") {
     TrustTown town;
     town.trust->serve = net::Address{"127.0.0.1", 0};
--- a/tests/metadata/workflow.cpp
+++ b/tests/metadata/workflow.cpp
@@ -213,6 +213,17 @@
         mended.publish();
         documentOf(mended.timestamp)["version"] = versionOf(stolen.timestamp) + 1;
         mended.publishTimestamp();
+        // The timestamp's key is as it was, and its kept version lists the snapshot that went ahead. It must
+        // be forgotten with the new root, in the same step: an update may end between the two.
+        auto cut = victim;
+        auto files = mended.files;
+        files.erase("timestamp.json");
+        tape.note("cut off behind the new root", cut.update(files));
+        CHECK(!cut.kept.read("timestamp.json"));
+        tape.note("and the next update", cut.update(mended.files));
+        auto bounded = victim;
+        tape.note("the new root is the last that the bound allows",
+                  bounded.update(mended.files, start + 60, {}, {1, 64}));
         tape.note("and back, with a new key", victim.update(mended.files));
     }
     tape.matches("metadata-roots");
