Tests of metadata in service look at the word that each build got

The director's test, and the one of a timestamp that runs out, checked that refreshes were accepted or refused and not what the decisions were told. Builds tells its last word now, and both tests follow it: none, valid, none again where director and image repository differ, withdrawn. The suite passes under the address and undefined-behaviour sanitizers; one overflow was in a test's own generator.

--- a/src/metadata/builds.cpp
+++ b/src/metadata/builds.cpp
@@ -81,6 +81,11 @@
     return changes;
 }
 
+Attestation Builds::told(int build) const {
+    const auto found = held_.find(build);
+    return found == held_.end() ? Attestation::none : found->second.told;
+}
+
 std::string Builds::kept() const {
     Json all = Json::array();
     for (const auto& [build, held] : held_)
--- a/src/metadata/builds.hpp
+++ b/src/metadata/builds.hpp
@@ -34,6 +34,8 @@
     // Trust that has run out vouches for nothing: valid becomes none. Withdrawn stays.
     std::vector<Word> lapsed(UnixSeconds now);
 
+    Attestation told(int build) const;  // the last word of it
+
     // As bytes for the store: the builds listed once. What cannot be read is as if nothing was kept.
     std::string kept() const;
     void restore(std::string_view kept);
--- a/src/net/trust.hpp
+++ b/src/net/trust.hpp
@@ -29,6 +29,7 @@
         FetchCounts fetches;
     };
     const Counts& counts() const { return counts_; }
+    const metadata::Builds& builds() const { return builds_; }
     const Mirror* mirror() const { return mirror_.get(); }
     const std::string& lastRefusal() const { return lastRefusal_; }  // empty: the last refresh was accepted
 
--- a/tests/metadata/properties.cpp
+++ b/tests/metadata/properties.cpp
@@ -33,8 +33,7 @@
 Json anyJson(std::mt19937& chance, int depth) {
     switch (chance() % (depth > 0 ? 7 : 5)) {
         case 0:
-            return static_cast<std::int64_t>(chance()) * (chance() % 2 ? 1 : -1) *
-                   static_cast<std::int64_t>(chance());
+            return static_cast<std::int64_t>(std::uint64_t{chance()} << 32 | chance());
         case 1:
             return chance() % 2 == 0;
         case 2:
--- a/tests/metadata/sidecar.cpp
+++ b/tests/metadata/sidecar.cpp
@@ -68,6 +68,7 @@
         std::filesystem::remove_all(folder);
         std::filesystem::remove(folder + ".root");
     }
+    Attestation word(int build) { return sidecar->trust()->builds().told(build); }
     const net::Trust::Counts& counts() { return sidecar->trust()->counts(); }
     // Until another refresh is over; its refusal, or nothing.
     std::string nextRefresh() {
@@ -152,12 +153,14 @@
     };
     town.start(2);
     town.until([&] { return town.counts().refreshes > 0 && town.sidecar->trust()->lastRefusal().empty(); });
+    CHECK(town.word(5) == Attestation::valid);
     town.scripts[0] = [](auto& at, auto* call, auto&) { return at.answer(call, 500, ""), true; };
     while (wall() <= town.repository.timestampUntil + 1) {
         town.hits(1);
         town.until([&] { return town.answers.back()->has_value(); });
     }
     town.allAnswered();
+    CHECK(town.word(5) == Attestation::none);
     CHECK(town.sidecar->trust()->lastRefusal() ==
           "root: unavailable: " + town.mirrors[0]->address.text() + ": failed 500");
     town.scripts[0] = nullptr;
@@ -500,11 +503,33 @@
         net::TrustConfig::Director{town.folder + ".director", {{{directorMirror.address, "/"}, false}}};
     town.start(1);
     CHECK(town.nextRefresh().empty());
+    CHECK(town.word(5) == Attestation::none);  // the image repository alone
     director.target("targets", "releases/5", "five",
                     {{"ecuIdentifier", "pods"}, {"hardwareId", "m2"}, {"releaseCounter", 5}});
     director.publish();
     directorFiles = director.files;
     CHECK(town.nextRefresh().empty());
+    CHECK(town.word(5) == Attestation::valid);
+    // The director names another image under that path: neither is believed.
+    director.target("targets", "releases/5", "fife",
+                    {{"ecuIdentifier", "pods"}, {"hardwareId", "m2"}, {"releaseCounter", 5}});
+    director.publish();
+    directorFiles = director.files;
+    CHECK(town.nextRefresh().empty());
+    CHECK(town.word(5) == Attestation::none);
+    director.target("targets", "releases/5", "five",
+                    {{"ecuIdentifier", "pods"}, {"hardwareId", "m2"}, {"releaseCounter", 5}});
+    director.publish();
+    directorFiles = director.files;
+    CHECK(town.nextRefresh().empty());
+    CHECK(town.word(5) == Attestation::valid);
+    // The image repository lists it no more, whatever the director says.
+    removeTarget(town.repository.role("targets"), "releases/5");
+    town.repository.redo("targets");
+    town.repository.publish();
+    town.files = town.repository.files;
+    CHECK(town.nextRefresh().empty());
+    CHECK(town.word(5) == Attestation::withdrawn);
     director.delegateTo("targets", "other", {"*"});
     director.publish();
     directorFiles = director.files;
