Probes within the fleet's share: one a pod a second over all sidecars, at own subset

Ruled out as the main price: list calls (one standing watch, backed off), votes (already spaced by balancers), memory (1 to 2 MB).

Change: src/limits/fleet (pure): a token bucket, the probe rate probesPerPod * pods / sidecars, and a subset of pods by rendezvous hashing of index and pod id, about 24 sidecars a pod. choose() takes a token for each probe and probes within the subset.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "gossip.hpp"
+#include "limits/fleet.hpp"
 
 namespace lichenlanding {
 namespace {
@@ -188,6 +189,8 @@
     std::vector<Build*> present;                             // builds on trial now
     std::vector<Pod*> scouted;  // whose reports came lately, where probes alone bring them
     std::vector<Pod*> pods;     // as listed, without those gone
+    std::vector<Pod*> near;     // of those, the few this sidecar prefers (limits/fleet.hpp)
+    limits::Bucket probes{0, 2};
     std::unordered_map<std::string, int> answeredBy;  // one-way keys: the build that answered
     Use met;                                          // own outcomes of late over all pods
     double typicalWork = 0, done = 0, doneRate = 0;  // work delivered: this second, and a second per warm pod
@@ -442,8 +445,9 @@
         passage.pod = draw();
         if (auto* other = draw(); lighter(*other, *passage.pod)) passage.pod = other;
         std::erase(scouted, passage.pod);
-        if (blind)
-            for (int probe = 0; probe < probesPerHit; ++probe) door.probe(*pods[chance() % pods.size()]);
+        if (blind)  // within what the fleet's pods take, at the pods this sidecar prefers
+            for (int probe = 0; probe < probesPerHit && probes.take(now); ++probe)
+                door.probe(*near[chance() % near.size()]);
         return Next::pass;
     }
 
@@ -566,6 +570,9 @@
             if (line.availability != Availability::gone) pods.push_back(&pod);
         }
         std::sort(pods.begin(), pods.end(), [](auto* one, auto* other) { return one->id < other->id; });
+        near =
+            limits::subset(pods, static_cast<std::uint32_t>(me), limits::subsetSize(pods.size(), balancers));
+        probes.rate(limits::probeRate(pods.size(), balancers));
         present.clear();
         for (auto* pod : pods)
             if (onTrial(*pod->build) &&
--- /dev/null
+++ b/src/limits/fleet.cpp
@@ -0,0 +1,76 @@
+#include "limits/fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace lichenlanding::limits {
+namespace {
+
+constexpr double nanosPerSecond = 1e9;
+
+// splitmix64's finalizer: consecutive inputs give unrelated outputs.
+std::uint64_t mix(std::uint64_t value) {
+    value += 0x9e3779b97f4a7c15ull;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ull;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebull;
+    return value ^ (value >> 31);
+}
+
+}  // namespace
+
+Bucket::Bucket(double perSecond, double burst) : perSecond_(perSecond), burst_(burst), tokens_(burst) {
+    if (!(perSecond >= 0) || !(burst >= 1))
+        throw std::invalid_argument("bucket: rate below 0 or burst below 1");
+}
+
+void Bucket::fill(Nanos now) {
+    if (at_ >= 0 && now > at_)
+        tokens_ = std::min(burst_, tokens_ + perSecond_ * static_cast<double>(now - at_) / nanosPerSecond);
+    at_ = std::max(at_, now);
+}
+
+bool Bucket::take(Nanos now) {
+    fill(now);
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+}
+
+void Bucket::rate(double perSecond) {
+    if (!(perSecond >= 0)) throw std::invalid_argument("bucket: rate below 0");
+    perSecond_ = perSecond;
+}
+
+double probeRate(std::size_t pods, int sidecars) {
+    if (sidecars < 1) throw std::invalid_argument("probe rate: no sidecar");
+    return probesPerPod * static_cast<double>(pods) / sidecars;
+}
+
+std::size_t subsetSize(std::size_t pods, int sidecars) {
+    if (sidecars < 1) throw std::invalid_argument("subset: no sidecar");
+    const auto wanted =
+        static_cast<std::size_t>(std::ceil(sidecarsPerPod * static_cast<double>(pods) / sidecars));
+    return std::min(pods, std::max(wanted, leastSubset));
+}
+
+std::uint64_t weight(std::uint32_t sidecar, std::uint32_t pod) {
+    return mix((static_cast<std::uint64_t>(sidecar) << 32 | pod) ^ mix(sidecar));
+}
+
+std::vector<Pod*> subset(const std::vector<Pod*>& pods, std::uint32_t sidecar, std::size_t size) {
+    if (pods.size() <= size) return pods;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked;  // weight, then id: no tie is left to order
+    ranked.reserve(pods.size());
+    for (const auto* pod : pods) ranked.emplace_back(weight(sidecar, pod->id), pod->id);
+    std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(size - 1), ranked.end(),
+                     std::greater<>());
+    const auto bar = ranked[size - 1];
+    std::vector<Pod*> chosen;
+    chosen.reserve(size);
+    for (auto* pod : pods)
+        if (std::make_pair(weight(sidecar, pod->id), pod->id) >= bar) chosen.push_back(pod);
+    return chosen;
+}
+
+}  // namespace lichenlanding::limits
