Openings of the list's watch are spread over a round of the fleet; a refusal is no line

At 2.03 s 60 of 100 watches were cut and came back within 75 ms; until 19 s 423 openings, none of which stood; at 21.8 s 70 sidecars were killed, 119 openings in the second after, 47 sidecars with a watch from 25 s to the end. The others went by lists of 15 to 25 s ago: 200 to 600 forwards a second ended 'refused' at pods long gone, 852 of 1,406 hits of the last seconds were turned away. Ruled out: discovery being down (it stands for those who are in, and serves again once openings fall under its pace); votes; the subsets. At fault: Stream::again (50 ms doubling up to 6 s, the same for all), Stream's silence (reopens at once) and Discovery::start. limits::Reopening spaces them: a first round over sidecars / callsPerS (the only rate of calls that the settings tell), each further one over twice as long, up to eight times; Retry-After is kept. Nothing changes in a tier smaller than the rate. What comes with a refusal was also read as a line of the list and had the whole list asked for; only a 200's lines are read now (list trace).

--- a/src/limits/fleet.hpp
+++ b/src/limits/fleet.hpp
@@ -11,7 +11,8 @@
 //     `sidecarsPerPod` sidecars. A pod stays in a sidecar's subset while it is listed; only pods that come or
 //     go move the others;
 //   - votes: the platform takes `perSecond` calls from all sidecars together. Each sidecar has a place in a
-//     queue drawn anew for every stage, and waits for its turn.
+//     queue drawn anew for every stage, and waits for its turn;
+//   - openings of the watch on the list: spread over a round of the fleet.
 //
 // Pure: no clock, no I/O; times come in as arguments (monotonic nanoseconds), ids as numbers that every
 // sidecar sees alike. Throws std::invalid_argument for figures out of range, nothing else.
@@ -20,6 +21,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -32,6 +34,8 @@
 // Pods a sidecar prefers at least, so that a few lost ones leave choice.
 constexpr std::size_t leastSubset = 6;
 
+constexpr Nanos reopenFirst = 50'000'000;  // before a watch is opened a second time
+
 // Tokens that come at a steady rate up to a burst. The first take finds the bucket full.
 class Bucket {
   public:
@@ -61,6 +65,27 @@
 // rate.
 Nanos turn(std::uint64_t about, std::uint32_t sidecar, int sidecars, double perSecond);
 
+// When a watch that ended is opened again. Openings are calls that all sidecars make in one instant, since
+// whatever cuts one off cuts off many; a party that is asked for more than it takes lets each wait and then
+// turns it away, having worked for it all the same, and the next round finds it as busy. So a round of the
+// fleet is spread over the time in which `perSecond` calls a second would take all, and each further one
+// over twice as long, up to eight times. A tier no larger than the rate is not spread.
+class Reopening {
+  public:
+    // firstWait: before the second opening, then twice as long each time up to longestWait. perSecond > 0.
+    Reopening(Nanos firstWait, Nanos longestWait, int sidecars, double perSecond, std::uint32_t seed);
+
+    Nanos atStart();                   // from the start of the program to the first opening
+    Nanos next(Nanos retryAfter = 0);  // from an end, or a refusal that advises to wait so long
+    void stood();                      // the watch has brought something: the next loss is a first one
+
+  private:
+    Nanos part(Nanos span);  // by chance
+
+    Nanos firstWait_, longestWait_, wait_, round_, spread_;
+    std::mt19937 chance_;
+};
+
 // Rendezvous hashing: the `count` items of lowest key (all if there are no more), lowest first. Keys are told
 // apart to the last, so the choice does not depend on the order of `items`.
 template <typename Item, typename Key>
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -52,6 +52,7 @@
     void abandon();        // closes it; a call that is out is not told
     bool free() const { return alive_ && !done_; }
     const Address& address() const { return address_; }
+    int code() const { return answer_.code; }  // of the answer that is coming in
     void onClose(std::function<void()> closed) { closed_ = std::move(closed); }  // the other side, when idle
 
     // Whether it can carry another call: nothing unasked has come, not even unread, and it has not ended.
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -3,8 +3,6 @@
 namespace lichenlanding::net {
 namespace {
 
-constexpr Nanos silence = 4'000'000'000;  // four of the platform's signs of life
-
 const char* wordOf(Verdict verdict) {
     static constexpr const char* words[] = {"none", "on", "hold", "back"};
     return words[static_cast<int>(verdict)];
@@ -12,8 +10,8 @@
 
 }  // namespace
 
-Desk::Desk(Loop& loop, const Address& address, Nanos connectWithin, Nanos answerWait, std::uint32_t seed,
-           Heard heard, Disputed disputed)
+Desk::Desk(Loop& loop, const Address& address, Nanos connectWithin, Nanos answerWait,
+           limits::Reopening reopening, Heard heard, Disputed disputed)
     : loop_(loop),
       address_(address),
       connectWithin_(connectWithin),
@@ -21,7 +19,7 @@
       heard_(std::move(heard)),
       disputed_(std::move(disputed)),
       stream_(
-          loop, address, Kind::platform, connectWithin, silence, seed, [] { return paths::news; },
+          loop, address, Kind::platform, connectWithin, silence, reopening, [] { return paths::news; },
           [this](std::string_view json) { return line(json); }) {}
 
 // Each vote has a connection of its own: votes are rare, and a kept connection may have died of idleness.
--- a/src/net/desk.hpp
+++ b/src/net/desk.hpp
@@ -10,13 +10,15 @@
 
 class Desk {
   public:
+    static constexpr Nanos silence = 4'000'000'000;  // four of the platform's signs of life
+
     using Heard = std::function<void(const StageNews&, bool answer, Outcome answered)>;
     using Disputed = std::function<void(const Dispute&)>;
 
-    Desk(Loop& loop, const Address& address, Nanos connectWithin, Nanos answerWait, std::uint32_t seed,
-         Heard heard, Disputed disputed);
+    Desk(Loop& loop, const Address& address, Nanos connectWithin, Nanos answerWait,
+         limits::Reopening reopening, Heard heard, Disputed disputed);
 
-    void start() { stream_.open(); }
+    void start() { stream_.start(true); }
     void move(const Address& address);  // votes that are out end where they are
     void vote(Verdict verdict, int build, int stage);
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -3,20 +3,14 @@
 #include <algorithm>
 
 namespace lichenlanding::net {
-namespace {
-
-constexpr Nanos silence = 6'000'000'000;  // three of the empty lines that come while nothing changes
-
-}  // namespace
-
-Discovery::Discovery(Loop& loop, const Address& address, Nanos connectWithin, std::uint32_t seed,
+Discovery::Discovery(Loop& loop, const Address& address, Nanos connectWithin, limits::Reopening reopening,
                      const std::vector<std::string>& zones, Upstream& upstream, Listed listed)
     : loop_(loop),
       zones_(zones),
       upstream_(upstream),
       listed_(std::move(listed)),
       stream_(
-          loop, address, Kind::discovery, connectWithin, silence, seed,
+          loop, address, Kind::discovery, connectWithin, silence, reopening,
           [this] {
               const auto watch = "?stream=1&index=" + std::to_string(revision_);
               return std::string(paths::list) + (revision_ < 0 ? "" : watch);
@@ -25,7 +19,7 @@
 
 void Discovery::start(const std::optional<PodList>& known) {
     if (known) take(*known);
-    stream_.open();
+    stream_.start(!any_);  // with a list to go by it can wait for its part of the round
 }
 
 void Discovery::move(const Address& address) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -10,9 +10,12 @@
 
 class Discovery {
   public:
+    static constexpr Nanos silence =
+        6'000'000'000;  // three of the empty lines that come while nothing changes
+
     using Listed = std::function<void(bool whole, std::vector<Listing> lines)>;
 
-    Discovery(Loop& loop, const Address& address, Nanos connectWithin, std::uint32_t seed,
+    Discovery(Loop& loop, const Address& address, Nanos connectWithin, limits::Reopening reopening,
               const std::vector<std::string>& zones, Upstream& upstream, Listed listed);
 
     void start(const std::optional<PodList>& known);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -41,7 +41,10 @@
                 podConnections(config_.sockets)),
       balance_(config_.settings, config_.seed, *this),
       discovery_(loop_, config_.discovery, config_.settings.connectWithin,
-                 static_cast<std::uint32_t>(config_.seed), config_.settings.zones, upstream_,
+                 limits::Reopening(limits::reopenFirst, Discovery::silence, config_.settings.balancers,
+                                   std::max(config_.settings.votesPerSecond, 1.0),
+                                   static_cast<std::uint32_t>(config_.seed)),
+                 config_.settings.zones, upstream_,
                  [this](bool whole, std::vector<Listing> lines) {
                      decide([&](Balance& balance) { balance.listed(whole, lines); });
                      if (trust_)
@@ -49,7 +52,8 @@
                  }),
       desk_(
           loop_, config_.platform, config_.settings.connectWithin, config_.settings.answerWait,
-          static_cast<std::uint32_t>(config_.seed >> 32),
+          limits::Reopening(limits::reopenFirst, Desk::silence, 1, 1,  // votes wait for it: not spread
+                            static_cast<std::uint32_t>(config_.seed >> 32)),
           [this](const StageNews& news, bool answer, Outcome answered) {
               decide([&](Balance& balance) {
                   balance.news(news.build, news.stage, news.standing, answer, answered, news.cap, news.age);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,42 +5,48 @@
 namespace lichenlanding::net {
 namespace {
 
-constexpr Nanos firstWait = 50'000'000;               // before a second opening; then twice as long each time
 constexpr std::size_t longestLine = 8 * 1024 * 1024;  // a list of tens of thousands of pods
 
 }  // namespace
 
 Stream::Stream(Loop& loop, const Address& address, Kind kind, Nanos connectWithin, Nanos silence,
-               std::uint32_t seed, Path path, Each each)
+               limits::Reopening reopening, Path path, Each each)
     : loop_(loop),
       address_(address),
       kind_(kind),
       connectWithin_(connectWithin),
       silence_(silence),
-      wait_(firstWait),
-      chance_(seed),
+      reopening_(reopening),
       path_(std::move(path)),
       each_(std::move(each)),
       silent_(loop,
               [this] {
                   again("silent");
-                  reopen_.in(0);  // the silence has spaced them out
+                  reopen_.in(reopening_.atStart());  // the silence has spaced them out, but for the fleet
               }),
       reopen_(loop, [this] { open(); }) {}
 
+void Stream::start(bool atOnce) {
+    if (const auto wait = atOnce ? 0 : reopening_.atStart(); wait > 0) reopen_.in(wait);
+    else open();
+}
+
 void Stream::open() {
     partial_.clear();
     connection_ = std::make_shared<Connection>(loop_, address_, SIZE_MAX >> 1);
     silent_.in(silence_);
     connection_->call(
         {EVHTTP_REQ_GET, path_(), {{"Host", address_.text()}}, {}}, connectWithin_, 0,
-        [this](const Return& back) { ended(back); }, [this](std::string_view bytes) { came(bytes); });
+        [this](const Return& back) { ended(back); },
+        [this](std::string_view bytes) {
+            if (connection_->code() == 200) came(bytes);  // what comes with a refusal is no line
+        });
 }
 
 void Stream::move(const Address& address) {
     again("its address is another");
     address_ = address;
-    wait_ = firstWait;
+    reopening_.stood();
     reopen_.stop();
     open();
 }
@@ -48,7 +54,7 @@
 // An answer that has come whole ends its last line, too.
 void Stream::ended(const Return& back) {
     if (back.ending == Ending::answered && !partial_.empty()) came("\n");
-    if (connection_) again(nameOf(back.ending));
+    if (connection_) again(nameOf(back.ending), back.retryAfter);
 }
 
 void Stream::came(std::string_view bytes) {
@@ -66,11 +72,11 @@
         if (line.empty() || line == "\r") continue;
         if (!each_(line)) return again("a line cannot be read");
     }
-    wait_ = firstWait;
+    reopening_.stood();
     if (!std::exchange(up_, true)) log(kind_, "watch on " + address_.text() + " stands");
 }
 
-void Stream::again(const char* why) {
+void Stream::again(const char* why, Nanos retryAfter) {
     if (std::exchange(up_, false) || std::exchange(told_, false))
         log(kind_, "watch on " + address_.text() + " lost: " + why);
     silent_.stop();
@@ -78,9 +84,7 @@
         connection_->abandon();
         loop_.bury(std::exchange(connection_, nullptr));
     }
-    // Spaced out and spread, so that many sidecars do not come back at once.
-    reopen_.in(wait_ / 2 + static_cast<Nanos>(chance_() % 1000) * wait_ / 1000);
-    wait_ = std::min(wait_ * 2, silence_);
+    reopen_.in(reopening_.next(retryAfter));
 }
 
 }  // namespace lichenlanding::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -1,8 +1,7 @@
 // An answer that stays open and brings one line after another; opened again when it ends or falls silent.
 #pragma once
 
-#include <random>
-
+#include "limits/fleet.hpp"
 #include "net/connection.hpp"
 
 namespace lichenlanding::net {
@@ -12,23 +11,24 @@
     using Path = std::function<std::string()>;           // where to ask, at each opening
     using Each = std::function<bool(std::string_view)>;  // one line; false: it cannot be read, open anew
 
-    // The first silence comes after `silence` without a byte; openings are spaced out, up to that long.
+    // The first silence comes after `silence` without a byte; `reopening` spaces openings out.
     Stream(Loop& loop, const Address& address, Kind kind, Nanos connectWithin, Nanos silence,
-           std::uint32_t seed, Path path, Each each);
+           limits::Reopening reopening, Path path, Each each);
 
-    void open();
+    void start(bool atOnce);            // else within the fleet's round
     void move(const Address& address);  // opened there at once
 
   private:
+    void open();
     void came(std::string_view bytes);
     void ended(const Return& back);
-    void again(const char* why);
+    void again(const char* why, Nanos retryAfter = 0);
 
     Loop& loop_;
     Address address_;
     Kind kind_;
-    Nanos connectWithin_, silence_, wait_;
-    std::mt19937 chance_;
+    Nanos connectWithin_, silence_;
+    limits::Reopening reopening_;
     Path path_;
     Each each_;
     Timer silent_, reopen_;
--- a/tests/limits/fleet.cpp
+++ b/tests/limits/fleet.cpp
@@ -96,3 +96,39 @@
     CHECK(moved > 50);
     CHECK_THROWS_AS(turn(1, 0, 3, 0), std::invalid_argument);
 }
+
+// Seen on herd+vast (seed 513562230982): discovery, overbooked, opened 12 watches a second; 60 sidecars cut
+// off in one instant asked again within 75 ms, and then so often that none stood for 17 s.
+TEST_CASE("openings of all sidecars stay within the rate, at a start and after a loss; refusals widen them") {
+    const auto most = [](std::vector<lichenlanding::Nanos> calls) {
+        std::sort(calls.begin(), calls.end());
+        int most = 0;
+        for (std::size_t first = 0, last = 0; last < calls.size(); ++last) {
+            while (calls[first] <= calls[last] - 1000 * ms) ++first;
+            most = std::max(most, static_cast<int>(last - first + 1));
+        }
+        return most;
+    };
+    for (int sidecars : {3, 100, 300}) {
+        std::vector<lichenlanding::Nanos> starts, losses, refused, again;
+        for (int sidecar = 0; sidecar < sidecars; ++sidecar) {
+            Reopening reopening(reopenFirst, 6000 * ms, sidecars, 16, static_cast<std::uint32_t>(sidecar));
+            starts.push_back(reopening.atStart());
+            reopening.stood();
+            losses.push_back(reopening.next());
+            refused.push_back(losses.back() + reopening.next());
+            reopening.stood();
+            again.push_back(reopening.next(2000 * ms));
+        }
+        if (sidecars < 16) {  // a small tier as it always did
+            CHECK(*std::max_element(starts.begin(), starts.end()) == 0);
+            CHECK(*std::max_element(losses.begin(), losses.end()) <= 75 * ms);
+        } else {
+            CHECK(most(starts) <= 16 * 2);  // by chance
+            CHECK(most(losses) <= 16 * 2);
+            CHECK(most(refused) <= 16);
+        }
+        CHECK(*std::min_element(again.begin(), again.end()) >= 2000 * ms);
+    }
+    CHECK_THROWS_AS(Reopening(reopenFirst, 6000 * ms, 3, 0, 1), std::invalid_argument);
+}
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// A sidecar that opens its watches without regard to others.
+limits::Reopening alone(Nanos longest) { return {limits::reopenFirst, longest, 1, 1, 1}; }
+
 // One call to a stand-in, by itself.
 std::string endingOf(const StandIn::Serve& serve, const std::string& body = {}, Nanos within = 0) {
     Town town;
@@ -533,7 +536,7 @@
     Upstream upstream(town.loop, 5000 * ms, 15000 * ms, 10);
     const std::vector<std::string> zones = {"a"};
     std::map<int, Build> builds;
-    Discovery discovery(town.loop, registry.address, 5000 * ms, 1, zones, upstream,
+    Discovery discovery(town.loop, registry.address, 5000 * ms, alone(Discovery::silence), zones, upstream,
                         [&](bool, std::vector<Listing> lines) {
                             for (auto& line : lines) {  // as the decisions do
                                 line.pod->started = line.started;
@@ -567,7 +570,7 @@
     StandIn registry(town.loop, [&](auto& at, auto* call) { at.hold(call); });
     Upstream upstream(town.loop, 5000 * ms, 15000 * ms, 10);
     const std::vector<std::string> zones = {"a", "b"};
-    Discovery discovery(town.loop, registry.address, 5000 * ms, 1, zones, upstream,
+    Discovery discovery(town.loop, registry.address, 5000 * ms, alone(Discovery::silence), zones, upstream,
                         [&](bool whole, std::vector<Listing> lines) {
                             town.tape << (whole ? "whole:" : "changes:");
                             for (const auto& line : lines)
@@ -600,6 +603,14 @@
     registry.answer(registry.held.back(), 200,
                     R"({"revision":50,"complete":true,"members":[)" + entry("s-2", "b", "up") + "]}");
     opened(4);
+    // A refusal is no line, whatever comes with it: the list that is held stays, and its advice to wait is
+    // kept.
+    registry.closeAll();
+    town.until([&] { return registry.seen.size() == 5; });
+    const auto refused = town.loop.now();
+    registry.answer(registry.held.back(), 429, "{\"error\":\"BUSY\"}\n", {{"Retry-After", "0.3"}});
+    opened(6);
+    CHECK(town.loop.now() - refused >= 300 * ms);
     matchesTrace("list", town.tape.str());
     CHECK(upstream.place("s-1").id == podNumber("s-1"));
 }
@@ -616,7 +627,7 @@
     });
     int heard = 0;
     Desk desk(
-        town.loop, platform.address, 5000 * ms, 1500 * ms, 1,
+        town.loop, platform.address, 5000 * ms, 1500 * ms, alone(Desk::silence),
         [&](const StageNews& news, bool isAnswer, Outcome outcome) {
             ++heard;
             town.tape << (isAnswer ? "answer " : "news ") << outcomeName(outcome) << " build " << news.build
