A watch that is given up takes no more of the bytes that came with its last ones

Before that they were read on: for the list that meant a revision taken from a line behind the one that was lost, so that the loss was never asked for again. At fault: Stream::open's piece, which did not look whether the watch still stands. Each watch now ends for good at its first unreadable line.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -39,7 +39,8 @@
         {EVHTTP_REQ_GET, path_(), {{"Host", address_.text()}}, {}}, connectWithin_, 0,
         [this](const Return& back) { ended(back); },
         [this](std::string_view bytes) {
-            if (connection_->code() == 200) came(bytes);  // what comes with a refusal is no line
+            // What comes with a refusal is no line, nor is what comes behind a line that could not be read.
+            if (connection_ && connection_->code() == 200) came(bytes);
         });
 }
 
