First openings of the list come within half the drain's grace, refused ones within a round

At fault: Reopening::atStart and the first wait after a loss. Both are now spread over drainGraceMs / 2 = 1 s; only an opening that was refused comes back over the fleet's round.

Not kept: pods that refuse or give no answer rest for 0.5 to 8 s, doubling.

--- a/src/limits/fleet.cpp
+++ b/src/limits/fleet.cpp
@@ -64,25 +64,26 @@
     return static_cast<Nanos>(std::max(before + 1 - perSecond, 0.0) / perSecond * nanosPerSecond);
 }
 
-Reopening::Reopening(Nanos firstWait, Nanos longestWait, int sidecars, double perSecond, std::uint32_t seed)
+Reopening::Reopening(Nanos firstWait, Nanos longestWait, Nanos within, int sidecars, double perSecond,
+                     std::uint32_t seed)
     : firstWait_(firstWait), longestWait_(longestWait), wait_(firstWait), chance_(seed) {
     if (sidecars < 1 || !(perSecond > 0)) throw std::invalid_argument("reopening: no sidecar, or no rate");
     round_ = sidecars > perSecond ? static_cast<Nanos>(sidecars / perSecond * nanosPerSecond) : 0;
-    spread_ = round_;
+    spread_ = soon_ = std::min(round_, within);
 }
 
 Nanos Reopening::part(Nanos span) { return static_cast<Nanos>(chance_() % 1000) * span / 1000; }
 
-Nanos Reopening::atStart() { return part(round_); }
+Nanos Reopening::atStart() { return part(soon_); }
 
 Nanos Reopening::next(Nanos retryAfter) {
     const auto waits = retryAfter + wait_ / 2 + part(wait_) + part(spread_);
     wait_ = std::min(2 * wait_, longestWait_);
-    spread_ = std::min(2 * spread_, roundsAtMost * round_);
+    spread_ = std::clamp(2 * spread_, round_, roundsAtMost * round_);
     return waits;
 }
 
-void Reopening::stood() { wait_ = firstWait_, spread_ = round_; }
+void Reopening::stood() { wait_ = firstWait_, spread_ = soon_; }
 
 std::vector<Pod*> subset(const std::vector<Pod*>& pods, std::uint32_t sidecar, std::size_t size) {
     auto chosen = lowest(pods, size, [sidecar](const Pod* pod) {  // of highest weight
--- a/src/limits/fleet.hpp
+++ b/src/limits/fleet.hpp
@@ -67,13 +67,16 @@
 
 // When a watch that ended is opened again. Openings are calls that all sidecars make in one instant, since
 // whatever cuts one off cuts off many; a party that is asked for more than it takes lets each wait and then
-// turns it away, having worked for it all the same, and the next round finds it as busy. So a round of the
-// fleet is spread over the time in which `perSecond` calls a second would take all, and each further one
-// over twice as long, up to eight times. A tier no larger than the rate is not spread.
+// turns it away, having worked for it all the same, and the next round finds it as busy. So openings that
+// were refused come back over the time in which `perSecond` calls a second would take the whole fleet, each
+// further time over twice as long, up to eight times. The first ones, at a start and after a loss, wait no
+// longer than `within`: a sidecar that has not asked is held to what it would have been told. A tier no
+// larger than the rate is not spread.
 class Reopening {
   public:
     // firstWait: before the second opening, then twice as long each time up to longestWait. perSecond > 0.
-    Reopening(Nanos firstWait, Nanos longestWait, int sidecars, double perSecond, std::uint32_t seed);
+    Reopening(Nanos firstWait, Nanos longestWait, Nanos within, int sidecars, double perSecond,
+              std::uint32_t seed);
 
     Nanos atStart();                   // from the start of the program to the first opening
     Nanos next(Nanos retryAfter = 0);  // from an end, or a refusal that advises to wait so long
@@ -82,7 +85,7 @@
   private:
     Nanos part(Nanos span);  // by chance
 
-    Nanos firstWait_, longestWait_, wait_, round_, spread_;
+    Nanos firstWait_, longestWait_, wait_, round_, soon_, spread_;
     std::mt19937 chance_;
 };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -41,8 +41,8 @@
                 podConnections(config_.sockets)),
       balance_(config_.settings, config_.seed, *this),
       discovery_(loop_, config_.discovery, config_.settings.connectWithin,
-                 limits::Reopening(limits::reopenFirst, Discovery::silence, config_.settings.balancers,
-                                   std::max(config_.settings.votesPerSecond, 1.0),
+                 limits::Reopening(limits::reopenFirst, Discovery::silence, config_.settings.drainGrace / 2,
+                                   config_.settings.balancers, std::max(config_.settings.votesPerSecond, 1.0),
                                    static_cast<std::uint32_t>(config_.seed)),
                  config_.settings.zones, upstream_,
                  [this](bool whole, std::vector<Listing> lines) {
@@ -52,7 +52,7 @@
                  }),
       desk_(
           loop_, config_.platform, config_.settings.connectWithin, config_.settings.answerWait,
-          limits::Reopening(limits::reopenFirst, Desk::silence, 1, 1,  // votes wait for it: not spread
+          limits::Reopening(limits::reopenFirst, Desk::silence, 0, 1, 1,  // votes wait for it: not spread
                             static_cast<std::uint32_t>(config_.seed >> 32)),
           [this](const StageNews& news, bool answer, Outcome answered) {
               decide([&](Balance& balance) {
