Fleet test: a zone that returns cold gets no more from 100 sidecars than the rule allows

Need: the cold rule binds the sum of all sidecars, and nothing tested the sum. A hundred instances of the decisions before six pods that vanish and come back cold; what each pod gets in any 1.5 s is held against twice what it can do.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -95,3 +95,57 @@
     CHECK(fleet.now <= settled + 750 * ms);
     CHECK(fleet.mostInASecond() <= 2 * 16);
 }
+
+// Nobody sees more than a hundredth of what a pod gets: what each sends to a pod that has just started adds
+// up. Warm pods are taken to be at their limit before, so that what they got is what they can do.
+// It is the only zone, so that nothing but the rule keeps hits from its pods.
+TEST_CASE("a zone that vanishes and returns cold gets no more from all sidecars than the rule allows") {
+    auto told = settings();
+    told.balancers = 100;
+    std::vector<std::unique_ptr<Scene>> scenes;
+    const auto zone = [&](Availability state, Nanos started) {
+        for (auto& scene : scenes)
+            for (std::uint32_t id = 1; id <= 6; ++id) scene->pod(id, 5, 0, state, started);
+    };
+    for (told.index = 0; told.index < 100; ++told.index) {
+        scenes.push_back(std::make_unique<Scene>(told, 31 + static_cast<std::uint64_t>(told.index)));
+        scenes.back()->quiet = true;
+    }
+    zone(Availability::up, -1);
+    const Nanos back = 14000 * ms, step = 10 * ms;
+    const double warm = 500.0 / 6;                      // hits a second and pod, before
+    std::map<std::uint32_t, std::vector<double>> sent;  // to the pods that came back, by step since then
+    for (Nanos at = 0; at < back + told.coldTime; at += step) {
+        if (at == 12000 * ms) zone(Availability::gone, -1);
+        if (at == back) zone(Availability::up, back);
+        for (std::size_t index = 0; index < scenes.size(); ++index) {  // five hits a second each, out of step
+            scenes[index]->go(at);
+            if ((static_cast<std::size_t>(at / step) + index) % 20 != 0) continue;
+            const auto id = std::to_string(at / step);
+            scenes[index]->pass(id, 0);
+            const auto& hit = scenes[index]->hits[id];
+            if (at < back || hit.forwards.empty()) continue;
+            auto& steps = sent[hit.forwards[0].pod->id];
+            steps.resize(static_cast<std::size_t>((at - back) / step) + 1);  // none between
+            ++steps.back();
+        }
+    }
+    REQUIRE(sent.size() == 6);
+    const std::size_t window = static_cast<std::size_t>(told.fallTime / step);
+    for (const auto& [pod, steps] : sent) {
+        double all = 0, worst = 0;
+        for (std::size_t last = 0; last < steps.size(); ++last) {
+            all += steps[last];
+            if (last + 1 < window) continue;
+            double got = 0, can = 0;
+            for (std::size_t at = last + 1 - window; at <= last; ++at) {
+                const double age = static_cast<double>(at) * static_cast<double>(step);
+                got += steps[at];
+                can += warm * (0.4 + 0.6 * age / static_cast<double>(told.coldTime)) * 0.01;
+            }
+            worst = std::max(worst, got / can);
+        }
+        CHECK(worst < told.fallMultiple);
+        CHECK(all > warm * 4 * 0.4);  // and it is used meanwhile
+    }
+}
