--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -19,6 +19,7 @@
 
 #include "gossip.hpp"
 #include "limits/fleet.hpp"
+#include "verdict/rank.hpp"
 
 namespace lichenlanding {
 namespace {
@@ -30,7 +31,6 @@
 constexpr Nanos skipAtMost = 2 * second;  // after a pod's start nothing counts, nor while it is cold
 constexpr Nanos undecidedFor = 1500 * ms;
 constexpr int voterCount = 3;
-constexpr double strength = 0.41421356237309515;  // s = sqrt(2) - 1
 constexpr int draws = 200;
 constexpr double onBar = 0.4, aheadBar = 0.55, backBar = 0.38, sure = 0.95, certain = 0.99;
 constexpr double leastOutcomes = 20;
@@ -64,45 +64,10 @@
 constexpr double leastPart = 0.15;  // a pod worth less of a sound one's part is left out
 constexpr int lastBin = latencyBins - 1;
 
-using Bins = std::vector<double>;
-
-// One draw of Dirichlet weights: s on the unseen point (first), then each bin's count.
-Bins weights(const Bins& counts, std::mt19937& chance) {
-    Bins drawn(counts.size() + 1);
-    double sum = 0;
-    for (std::size_t at = 0; at < drawn.size(); ++at) {
-        const double shape = at == 0 ? strength : counts[at - 1];
-        drawn[at] = shape > 0 ? std::gamma_distribution<double>(shape, 1)(chance) : 0;
-        sum += drawn[at];
-    }
-    for (auto& weight : drawn) weight /= sum > 0 ? sum : 1;
-    return drawn;
-}
-
-// Ranks coarsened to two: well and not.
-Bins inTwo(double bad, double all) { return {std::max(all - bad, 0.0), bad}; }
+using verdict::Bins, verdict::inTwo, verdict::rankTest;
 
 }  // namespace
 
-RankBounds rankTest(const std::vector<double>& x, const std::vector<double>& y, double bar, int times,
-                    std::mt19937& chance) {
-    RankBounds bounds;
-    for (int draw = 0; draw < times; ++draw) {
-        const auto w = weights(x, chance), v = weights(y, chance);
-        double lower = 0, slower = 1 - v[0];  // slower: weight of the Y that are slower than the bin at hand
-        for (std::size_t bin = 1; bin < w.size(); ++bin) {
-            slower -= v[bin];
-            lower += w[bin] * (std::max(slower, 0.0) + v[bin] / 2);
-        }
-        const double upper = w[0] * v[0] + w[0] * (1 - v[0]) + v[0] * (1 - w[0]) + lower;
-        bounds.lowerChance += lower > bar, bounds.upperChance += upper > bar;
-        bounds.lowerMean += lower, bounds.upperMean += upper;
-    }
-    for (auto* figure : {&bounds.lowerChance, &bounds.upperChance, &bounds.lowerMean, &bounds.upperMean})
-        *figure /= times;
-    return bounds;
-}
-
 struct Balance::Parts {
     enum class Next { pass, keep, end };
 
--- a/src/balance.hpp
+++ b/src/balance.hpp
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <memory>
-#include <random>
 #include <span>
 #include <string>
 
@@ -27,14 +26,6 @@
     virtual void listen() = 0;  // ask for the list and its changes, where it does not come by itself
 };
 
-// The imprecise Dirichlet rank-sum test on binned samples: the chances that P(X <= Y) passes the bar under
-// the lower and the upper bound, and both bounds' means.
-struct RankBounds {
-    double lowerChance = 0, upperChance = 0, lowerMean = 0, upperMean = 0;
-};
-RankBounds rankTest(const std::vector<double>& x, const std::vector<double>& y, double bar, int times,
-                    std::mt19937& chance);
-
 class Balance {
   public:
     Balance(const Settings& settings, std::uint64_t seed, Door& door);
--- /dev/null
+++ b/src/casting/casting.cpp
@@ -0,0 +1,304 @@
+#include "casting/casting.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lichenlanding::casting {
+namespace {
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+constexpr double budgetPart = 0.85;      // of the fleet's budget that foyers spend, each by its own share
+constexpr double hedgePart = 0.5;        // of that, which second sends beside one that is out may take
+constexpr double sharePart = 0.8;        // of the share that a version on trial may have
+constexpr double creditAtMost = 1.5;     // sends to it that may be saved up
+constexpr Nanos skipFirst = 2 * second;  // of a pod's life nothing counts for a version
+constexpr double otherZone = 0.5;        // what a pod in another zone costs more, in usual answers
+constexpr double coldPace = 2;           // a pod that warms up is so much slower
+constexpr Nanos reportFades = 400 * ms;
+constexpr Nanos muteAfter = 900 * ms;  // a pod that owes answers so long gets no more while others can
+constexpr Nanos restFirst = 200 * ms, restAtMost = 4 * second, restTurned = 120 * ms;
+constexpr int cutsInRow = 3;    // before a pod that breaks answers off rests
+constexpr double learn = 0.15;  // weight of the newest answer in an average
+constexpr double hedgeTypical = 2.3,
+                 hedgeTarget = 0.6;   // a second send after so many usual times, or so much of the target
+constexpr Nanos leastLeft = 15 * ms;  // with less time a send is pointless
+constexpr int ownBad = 4;             // bad answers of a version on trial seen here that stop it here
+constexpr double ownBadPart = 0.3;
+constexpr Nanos comeBack = 150 * ms;
+constexpr double linesPart = 0.8;  // of a pod's connections, that foyers share
+
+}  // namespace
+
+// Sends past the first of a request, against requests, in seconds' cells over a window.
+struct Casting::Budget {
+    static constexpr std::size_t cells = 32;
+    std::array<std::pair<double, double>, cells> kept{};  // requests, further sends
+    Nanos at = 0;
+
+    std::pair<double, double>& cell(Nanos now) {
+        const Nanos second_ = now / second;
+        if (at == 0 || second_ - at > static_cast<Nanos>(cells)) kept = {}, at = second_;
+        while (at < second_) kept[static_cast<std::size_t>(++at) % cells] = {};
+        return kept[static_cast<std::size_t>(at) % cells];
+    }
+    std::pair<double, double> over(Nanos now, Nanos window) {
+        cell(now);
+        std::pair<double, double> sum{};
+        const auto count = std::min<Nanos>(window / second, cells - 1);
+        for (Nanos back = 0; back <= count; ++back) {
+            if (back > at) break;
+            const auto& [requests, further] = kept[static_cast<std::size_t>(at - back) % cells];
+            sum.first += back < count ? requests : 0, sum.second += further;
+        }
+        return sum;
+    }
+};
+
+struct Casting::Trial {
+    double credit = 0;
+    std::uint32_t fresh = 0, bad = 0;
+    verdict::Totals totals;
+};
+
+Casting::Casting(const playbill::Boot& boot, std::uint64_t seed)
+    : zone_(boot.zone),
+      ratio_(boot.budgetRatio),
+      slack_(boot.budgetSlack),
+      share_(boot.exposureShare),
+      window_(boot.budgetWindow),
+      chance_(seed) {}
+
+void Casting::take(std::shared_ptr<const playbill::Playbill> playbill) {
+    if (playbill_ && playbill->version <= playbill_->version) return;  // CONFIG: never back in one life
+    playbill_ = std::move(playbill);
+}
+
+void Casting::apply(const troupe::Event& event, Nanos now) {
+    const auto& id = event.member.id;
+    auto at = actors_.find(id);
+    if (event.gone) {
+        if (at == actors_.end()) return;
+        at->second->gone = true;
+        std::erase(byService_[at->second->listed.service], at->second);
+        actors_.erase(at);
+        return;
+    }
+    if (at == actors_.end()) {
+        auto actor = std::make_shared<Actor>();
+        actor->listed = event.member, actor->since = now, actor->warmUntil = now + event.member.warmup;
+        at = actors_.emplace(id, actor).first;
+        byService_[event.member.service].push_back(actor);
+        auto& settled = settled_[event.member.service];
+        const bool ordered = std::any_of(rollouts_.begin(), rollouts_.end(), [&](const auto& rollout) {
+            return rollout.service == event.member.service && rollout.target == event.member.version;
+        });
+        if (settled.empty() && !ordered) settled.insert(event.member.version);
+    }
+    at->second->listed.draining = event.member.draining;
+}
+
+void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos) {
+    rollouts_ = std::move(rollouts);
+    for (const auto& rollout : rollouts_) {
+        settled_[rollout.service].erase(rollout.target);
+        auto& trial = trials_[rollout.service + "\n" + rollout.target];
+        if (!trial) trial = std::make_shared<Trial>();
+    }
+    for (auto& [service, versions] : settled_) {
+        if (!versions.empty()) continue;
+        for (const auto& actor : byService_[service]) {
+            const auto& version = actor->listed.version;
+            if (std::none_of(rollouts_.begin(), rollouts_.end(), [&](const auto& rollout) {
+                    return rollout.service == service && rollout.target == version;
+                }))
+                versions.insert(version);
+        }
+    }
+}
+
+// What a pod's version may take: a version that an order brought goes by the order's state; one that nobody
+// ordered serves only if it was there first, and only until a completed order replaces it.
+Casting::Side Casting::side(const Actor& actor) const {
+    const auto& [service, version] = std::tie(actor.listed.service, actor.listed.version);
+    const cues::Rollout *own = nullptr, *done = nullptr;
+    for (const auto& rollout : rollouts_) {
+        if (rollout.service != service) continue;
+        if (rollout.target == version) own = &rollout;
+        if (rollout.state == "completed" && (!done || rollout.number > done->number)) done = &rollout;
+    }
+    if (own && own->running()) return Side::fresh;
+    if (own) return own == done ? Side::earlier : Side::none;
+    if (done) return Side::none;
+    const auto at = settled_.find(service);
+    return at != settled_.end() && at->second.contains(version) ? Side::earlier : Side::none;
+}
+
+bool Casting::usable(const Actor& actor, Nanos now) const {
+    return !actor.gone && !actor.listed.draining && now >= actor.restUntil &&
+           (actor.owes == 0 || now - actor.owes < muteAfter);
+}
+
+double Casting::cost(const Actor& actor, const Try& request, Nanos now) const {
+    const double age = static_cast<double>(now - actor.heldAt) / static_cast<double>(reportFades);
+    const double others = std::max(0, actor.held - actor.heldOut) * std::exp(-age);
+    const double load = actor.out + others, slots = std::max(actor.listed.slots, 1);
+    const double wait = std::max(0.0, load + 1 - slots) / slots + 0.15 * load / slots;
+    const double pace = actor.pace * (now < actor.warmUntil ? coldPace : 1);
+    (void)request;
+    return pace * (1 + wait) + (actor.listed.zone == zone_ ? 0 : otherZone);
+}
+
+Casting::Budget& Casting::budget(const std::string& service) {
+    auto& budget = budgets_[service];
+    if (!budget) budget = std::make_shared<Budget>();
+    return *budget;
+}
+
+bool Casting::begin(Try& request, std::string_view host, std::string_view path, Nanos now, Nanos clientTime) {
+    request.route = playbill_ ? playbill_->find(host, path) : nullptr;
+    if (!request.route) return false;
+    const auto& route = *request.route;
+    request.service =
+        route.service(static_cast<std::int64_t>(chance_() % static_cast<std::uint64_t>(route.weights)));
+    request.arrived = now;
+    request.deadline = now + std::min(clientTime, route.timeout);
+    budget(request.service).cell(now).first += 1;
+    return true;
+}
+
+bool Casting::mayRepeat(const Try& request, Nanos now) const {
+    return (request.route->repeatable || !request.mayHaveRun) &&
+           static_cast<std::int64_t>(request.sent.size()) < request.route->maxAttempts &&
+           request.deadline - now > leastLeft;
+}
+
+std::shared_ptr<Actor> Casting::next(Try& request, Nanos now) {
+    // TWICE: what may run once is out at one pod at most, and goes on only from what surely did not run.
+    if (!request.route->repeatable && (request.mayHaveRun || request.out > 0)) return nullptr;
+    if (!mayRepeat(request, now)) return nullptr;
+    // BUDGET: any arrival past a request's first is paid for before it is sent.
+    const bool further = request.arrivals > 0;
+    auto& spent = budget(request.service);
+    if (further) {
+        const auto [requests, sends] = spent.over(now, window_);
+        const double allowed = (ratio_ * requests + slack_ / static_cast<double>(foyers_)) * budgetPart;
+        if (sends + 1 > allowed * (request.out > 0 ? hedgePart : 1)) return nullptr;
+    }
+    std::array<std::vector<const std::shared_ptr<Actor>*>, 2> near, far, resting;
+    const auto all = byService_.find(request.service);
+    if (all == byService_.end()) return nullptr;
+    for (const auto& actor : all->second) {
+        const auto where = side(*actor);
+        if (where == Side::none || actor->gone || actor->listed.draining) continue;
+        if (std::find(request.sent.begin(), request.sent.end(), actor.get()) != request.sent.end()) continue;
+        const auto at = static_cast<std::size_t>(where == Side::fresh);
+        auto& place = !usable(*actor, now) ? resting : actor->listed.zone == zone_ ? near : far;
+        place[at].push_back(&actor);
+    }
+    // EXPOSURE: a version on trial gets its share, counted here; all of it once its order says so.
+    std::size_t from = 0;
+    for (const auto& rollout : rollouts_) {
+        if (rollout.service != request.service || !rollout.running()) continue;
+        auto& trial = *trials_[rollout.service + "\n" + rollout.target];
+        const bool there = !near[1].empty() || !far[1].empty();
+        const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
+        if (stopped) continue;
+        if (rollout.stage > 0 && there) from = 1;
+        if (rollout.stage > 0 || further || !there) continue;
+        trial.credit = std::min(trial.credit + share_ * sharePart, creditAtMost);
+        if (trial.credit >= 1) trial.credit -= 1, from = 1;
+    }
+    std::shared_ptr<Actor> best;
+    double least = 0;
+    const auto look = [&](const std::vector<const std::shared_ptr<Actor>*>& place, int draws) {
+        for (int draw = 0; draw < draws && !place.empty(); ++draw) {
+            const auto& actor = *place[chance_() % place.size()];
+            const double its = cost(*actor, request, now);
+            if (!best || its < least) best = actor, least = its;
+        }
+    };
+    look(near[from], 2), look(far[from], near[from].empty() ? 2 : 1);
+    if (!best) look(resting[0], 2);
+    if (!best) return nullptr;
+    request.sent.push_back(best.get());
+    ++request.arrivals, ++request.out;
+    if (further) spent.cell(now).second += 1;
+    if (best->out++ == 0) best->owes = now;
+    return best;
+}
+
+Nanos Casting::hedgeAt(const Try& request, Nanos sentAt) const {
+    if (!request.route->repeatable) return request.deadline;
+    const auto at = typical_.find(request.route->name);
+    const double target = static_cast<double>(request.route->target);
+    const double after =
+        std::min(at == typical_.end() ? target : hedgeTypical * at->second, hedgeTarget * target);
+    return std::min(request.deadline, sentAt + static_cast<Nanos>(after));
+}
+
+void Casting::reported(Actor& actor, int running, int waiting, Nanos now) {
+    actor.held = running + waiting, actor.heldOut = actor.out, actor.heldAt = now;
+}
+
+void Casting::ended(Try& request, Actor& actor, End end, int status, Nanos took, Nanos now) {
+    --request.out, --actor.out;
+    if (end == End::unreached) --request.arrivals;
+    if (!surelyNotRun(end)) request.mayHaveRun = true;
+    if (end == End::answered || end == End::turned || end == End::elsewhere)
+        actor.owes = actor.out > 0 ? now : 0;
+    const auto rest = [&](Nanos first) {
+        actor.restUntil = now + std::min(first << std::min(actor.failures, 5), restAtMost);
+    };
+    if (end == End::answered) {
+        actor.failures = 0;
+    } else if (end == End::turned) {
+        actor.restUntil = now + restTurned;
+    } else if (end == End::elsewhere) {
+        actor.gone = true;  // ROUTE: the address has another pod; the list will say so
+    } else if (end == End::unreached || end == End::overdue) {
+        rest(restFirst), ++actor.failures;
+    } else if (++actor.failures >= cutsInRow) {
+        rest(restFirst);
+    }
+    if (end == End::overdue && actor.out == 0) actor.owes = 0;
+    const bool failed = end == End::cut || end == End::spoilt || end == End::overdue ||
+                        (end == End::answered && status >= 500);
+    const auto& route = *request.route;
+    if (end == End::answered && status < 300) {
+        auto& typical = typical_.try_emplace(route.name, static_cast<double>(route.target) / 3).first->second;
+        const double ratio = static_cast<double>(took) / typical;
+        typical += learn * (static_cast<double>(took) - typical);
+        if (now >= actor.warmUntil) actor.pace += learn * (std::clamp(ratio, 0.2, 5.0) - actor.pace);
+    }
+    if (surelyNotRun(end) || now - actor.since < skipFirst) return;
+    for (const auto& rollout : rollouts_) {
+        if (rollout.service != actor.listed.service || !rollout.running()) continue;
+        const bool fresh = rollout.target == actor.listed.version;
+        if (!fresh && side(actor) != Side::earlier) continue;
+        auto& trial = *trials_[rollout.service + "\n" + rollout.target];
+        trial.totals[route.name][fresh ? 0 : 1].count(took, route.target, failed);
+        if (fresh) ++trial.fresh;
+        if (fresh && failed) ++trial.bad, ++bad_;
+    }
+}
+
+Refusal Casting::refusal(const Try& request, End last, Nanos) const {
+    // REFUSED: 503 promises that it has not run and never will.
+    if (!request.mayHaveRun && request.out == 0) return {503, comeBack};
+    return {last == End::overdue ? 504 : 502, 0};
+}
+
+int Casting::linesAtMost(const Actor& actor) const {
+    const auto* service = playbill_ ? playbill_->service(actor.listed.service) : nullptr;
+    const double share =
+        service ? static_cast<double>(service->maxConnections) * linesPart / static_cast<double>(foyers_) : 2;
+    return std::max(2, static_cast<int>(share));
+}
+
+const verdict::Totals& Casting::totals(const std::string& service, const std::string& target) const {
+    static const verdict::Totals none;
+    const auto at = trials_.find(service + "\n" + target);
+    return at == trials_.end() ? none : at->second->totals;
+}
+
+}  // namespace lichenlanding::casting
--- /dev/null
+++ b/src/casting/casting.hpp
@@ -0,0 +1,128 @@
+// Where a request goes, and what its answer promises. Everything that is sent to a pod is asked for here, and
+// every answer of our own is chosen here: one place for each rule.
+//
+// Pure: times (monotonic nanoseconds) come in as arguments, chance from a seed. The host owns sockets.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cues/cues.hpp"
+#include "playbill/boot.hpp"
+#include "playbill/playbill.hpp"
+#include "troupe/troupe.hpp"
+#include "verdict/rollout.hpp"
+
+namespace lichenlanding::casting {
+
+// A pod as this foyer knows it. Kept until nothing is out at it and it has left the list.
+struct Actor {
+    troupe::Member listed;
+    bool gone = false;
+    int out = 0;      // own requests out
+    int lines = 0;    // own connections open, kept by the host
+    Nanos since = 0;  // first seen here
+    Nanos warmUntil = 0;
+    Nanos restUntil = 0;        // nothing is sent before, while others can
+    int failures = 0;           // in a row
+    double pace = 1;            // own answers' times against those of the route at all pods, averaged
+    int held = 0, heldOut = 0;  // requests by its own last report, and own ones out then
+    Nanos heldAt = 0;
+    Nanos owes = 0;  // since when it has owed an answer without giving any; 0: not
+};
+
+// How one send ended. What surely did not run may go again and may be refused; nothing else may.
+enum class End {
+    answered,   // a whole answer of this pod to this request
+    turned,     // X-Not-Executed: surely not run
+    elsewhere,  // 421: another pod lives there; surely not run
+    unreached,  // the connection never came up; surely not run
+    cut,        // closed or reset after something was written: may have run
+    spoilt,     // bytes that are no answer to this request: may have run
+    overdue,    // no answer in time: may have run
+};
+constexpr bool surelyNotRun(End end) {
+    return end == End::turned || end == End::elsewhere || end == End::unreached;
+}
+
+// One request of a client, on its way.
+struct Try {
+    const playbill::Route* route = nullptr;
+    std::string service;
+    Nanos arrived = 0, deadline = 0;  // the client's, or the route's timeout if that is sooner
+    std::vector<const Actor*> sent;   // pods it was sent to, in order
+    int arrivals = 0;                 // that pods may have seen
+    int out = 0;                      // sends without an end
+    bool mayHaveRun = false;
+};
+
+// What a client is told when no pod's answer can be had.
+struct Refusal {
+    int status = 503;
+    Nanos retryAfter = 0;  // 0: none
+};
+
+class Casting {
+  public:
+    Casting(const playbill::Boot& boot, std::uint64_t seed);
+
+    void take(std::shared_ptr<const playbill::Playbill> playbill);  // of a lower version: no change
+    const std::shared_ptr<const playbill::Playbill>& playbill() const { return playbill_; }
+    void apply(const troupe::Event& event, Nanos now);
+    void company(std::size_t foyers) { foyers_ = std::max<std::size_t>(foyers, 1); }
+    void rollouts(std::vector<cues::Rollout> rollouts, Nanos now);
+    const std::vector<cues::Rollout>& rollouts() const { return rollouts_; }
+
+    // A request that has come in: false where no route takes it.
+    bool begin(Try& request, std::string_view host, std::string_view path, Nanos now, Nanos clientTime);
+
+    // The pod to send to now, or null: give up (unless something is out still). Counts the send.
+    std::shared_ptr<Actor> next(Try& request, Nanos now);
+    // Whether a second send beside one that is out would be worth it, and when to ask.
+    Nanos hedgeAt(const Try& request, Nanos sentAt) const;
+    void ended(Try& request, Actor& actor, End end, int status, Nanos took, Nanos now);
+    void reported(Actor& actor, int running, int waiting, Nanos now);
+    // After `ended`: whether next() may be asked again.
+    bool mayRepeat(const Try& request, Nanos now) const;
+    Refusal refusal(const Try& request, End last, Nanos now) const;
+
+    // Connections to one pod that this foyer may have open.
+    int linesAtMost(const Actor& actor) const;
+    const std::map<std::string, std::shared_ptr<Actor>>& actors() const { return actors_; }
+
+    // Outcomes of a running rollout, for the voters.
+    const verdict::Totals& totals(const std::string& service, const std::string& target) const;
+    std::uint64_t badSeen() const { return bad_; }  // bad answers of versions on trial, over all
+
+  private:
+    struct Budget;
+    struct Trial;
+    enum class Side { none, earlier, fresh };
+    Side side(const Actor& actor) const;
+    double cost(const Actor& actor, const Try& request, Nanos now) const;
+    bool usable(const Actor& actor, Nanos now) const;
+    Budget& budget(const std::string& service);
+    Trial* trial(const std::string& service);
+
+    std::string zone_;
+    double ratio_, slack_, share_;
+    Nanos window_;
+    std::mt19937_64 chance_;
+    std::size_t foyers_ = 1;
+    std::shared_ptr<const playbill::Playbill> playbill_;
+    std::map<std::string, std::shared_ptr<Actor>> actors_;
+    std::map<std::string, std::vector<std::shared_ptr<Actor>>> byService_;
+    std::map<std::string, std::shared_ptr<Budget>> budgets_;
+    std::map<std::string, std::shared_ptr<Trial>> trials_;  // by service and target
+    std::map<std::string, std::set<std::string>> settled_;  // versions that no order brought, by service
+    std::map<std::string, double> typical_;                 // by route: an answer's usual time, ns
+    std::vector<cues::Rollout> rollouts_;
+    std::uint64_t bad_ = 0;
+};
+
+}  // namespace lichenlanding::casting
--- /dev/null
+++ b/src/company/company.cpp
@@ -0,0 +1,25 @@
+#include "company/company.hpp"
+
+#include "limits/fleet.hpp"
+
+namespace lichenlanding::company {
+
+std::uint64_t hash(std::string_view about, std::string_view name) {
+    std::uint64_t value = 0xcbf29ce484222325ull;  // FNV-1a, then splitmix64's finalizer
+    const auto add = [&](std::string_view text) {
+        for (const unsigned char c : text) value = (value ^ c) * 0x100000001b3ull;
+        value = (value ^ 0xff) * 0x100000001b3ull;
+    };
+    add(about), add(name);
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ull;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebull;
+    return value ^ (value >> 31);
+}
+
+std::vector<std::string> chosen(const std::vector<std::string>& names, std::string_view about,
+                                std::size_t count) {
+    return limits::lowest(names, count,
+                          [&](const std::string& name) { return std::pair(hash(about, name), name); });
+}
+
+}  // namespace lichenlanding::company
--- /dev/null
+++ b/src/company/company.hpp
@@ -0,0 +1,18 @@
+// The gateway's own sidecars, by rendezvous hashing: who votes on a version, who has a duty. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lichenlanding::company {
+
+// The same on every machine and in every run.
+std::uint64_t hash(std::string_view about, std::string_view name);
+
+// The `count` names of lowest hash for `about`, lowest first; all if there are no more.
+std::vector<std::string> chosen(const std::vector<std::string>& names, std::string_view about,
+                                std::size_t count);
+
+}  // namespace lichenlanding::company
--- /dev/null
+++ b/src/cues/cues.cpp
@@ -0,0 +1,109 @@
+#include "cues/cues.hpp"
+
+#include "playbill/playbill.hpp"
+
+// Member and name of each, once.
+#define MEMBER_FIELDS(X)                                                                        \
+    X(id, "i")                                                                                  \
+    X(service, "s") X(address, "a") X(zone, "z") X(version, "v") X(slots, "k") X(draining, "d") \
+        X(warmup, "w")
+#define ROLLOUT_FIELDS(X)                                                                         \
+    X(service, "service")                                                                         \
+    X(target, "target") X(state, "state") X(stage, "stage") X(number, "number") X(began, "began") \
+        X(term, "term") X(moved, "moved")
+
+namespace lichenlanding::cues {
+
+Json write(const troupe::Member& member) {
+    Json json;
+#define X(field, name) json[name] = member.field;
+    MEMBER_FIELDS(X)
+#undef X
+    return json;
+}
+
+troupe::Member readMember(const Json& from) {
+    troupe::Member member;
+#define X(field, name) from.at(name).get_to(member.field);
+    MEMBER_FIELDS(X)
+#undef X
+    return member;
+}
+
+troupe::Member listed(const Json& entry) {
+    troupe::Member member;
+    entry.at("instance_id").get_to(member.id);
+    entry.at("service_name").get_to(member.service);
+    entry.at("address").get_to(member.address);
+    entry.at("zone").get_to(member.zone);
+    entry.at("config_version").get_to(member.version);
+    entry.at("capacity_slots").get_to(member.slots);
+    member.draining = entry.at("state").get<std::string>() != "ready";
+    if (const auto left = entry.find("warmup_left"); left != entry.end() && left->is_string())
+        member.warmup = playbill::span(left->get_ref<const std::string&>());
+    return member;
+}
+
+Json write(const reg::Ballot& ballot) { return Json::array({ballot.round, ballot.writer}); }
+
+reg::Ballot readBallot(const Json& from) {
+    return {from.at(0).get<std::uint64_t>(), from.at(1).get<std::uint32_t>()};
+}
+
+Json write(const reg::Cell& cell) {
+    return Json::array({write(cell.promised), write(cell.accepted), cell.value});
+}
+
+reg::Cell readCell(const Json& from) {
+    return {readBallot(from.at(0)), readBallot(from.at(1)), from.at(2).get<std::string>()};
+}
+
+Json write(const verdict::Totals& totals) {
+    Json json = Json::object();
+    for (const auto& [route, sides] : totals)
+        for (const auto& side : sides) {
+            Json counts = side.bins;
+            counts.push_back(side.bad);
+            json[route].push_back(std::move(counts));
+        }
+    return json;
+}
+
+verdict::Totals readTotals(const Json& from) {
+    verdict::Totals totals;
+    for (const auto& [route, sides] : from.items())
+        for (std::size_t side = 0; side < 2; ++side) {
+            auto& counts = totals[route][side];
+            const auto& numbers = sides.at(side);
+            for (std::size_t bin = 0; bin < counts.bins.size(); ++bin)
+                numbers.at(bin).get_to(counts.bins[bin]);
+            numbers.at(counts.bins.size()).get_to(counts.bad);
+        }
+    return totals;
+}
+
+std::string write(const std::vector<Rollout>& rollouts) {
+    auto list = Json::array();
+    for (const auto& rollout : rollouts) {
+        Json json;
+#define X(field, name) json[name] = rollout.field;
+        ROLLOUT_FIELDS(X)
+#undef X
+        list.push_back(std::move(json));
+    }
+    return list.dump();
+}
+
+std::vector<Rollout> readRollouts(const std::string& text) {
+    std::vector<Rollout> rollouts;
+    if (text.empty()) return rollouts;
+    for (const auto& json : Json::parse(text)) {
+        auto& rollout = rollouts.emplace_back();
+#define X(field, name) json.at(name).get_to(rollout.field);
+        ROLLOUT_FIELDS(X)
+#undef X
+    }
+    return rollouts;
+}
+
+}  // namespace lichenlanding::cues
--- /dev/null
+++ b/src/cues/cues.hpp
@@ -0,0 +1,43 @@
+// What the gateway's sidecars tell each other, as JSON values, and rollouts as the register keeps them.
+// Encoding only: nothing here decides. Readers throw nlohmann::json::exception on a value of another shape.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "register/register.hpp"
+#include "troupe/troupe.hpp"
+#include "verdict/rollout.hpp"
+
+namespace lichenlanding::cues {
+
+using Json = nlohmann::json;
+
+Json write(const troupe::Member& member);
+troupe::Member readMember(const Json& from);
+// One entry of the platform's list.
+troupe::Member listed(const Json& entry);
+
+Json write(const reg::Ballot& ballot);
+reg::Ballot readBallot(const Json& from);
+Json write(const reg::Cell& cell);
+reg::Cell readCell(const Json& from);
+
+Json write(const verdict::Totals& totals);
+verdict::Totals readTotals(const Json& from);
+
+// One order to bring a version in. Stages: 0 a share, 1 all traffic before the old pods are let go.
+struct Rollout {
+    std::string service, target, state = "in_progress";
+    int stage = 0;
+    std::int64_t number = 0;           // rises with each change of any rollout
+    std::int64_t began = 0, term = 0;  // milliseconds of wall clock: of the order; allowed from then
+    std::int64_t moved = 0;            // when the stage began
+    bool running() const { return state == "in_progress"; }
+};
+
+std::string write(const std::vector<Rollout>& rollouts);
+std::vector<Rollout> readRollouts(const std::string& text);  // "" is none
+
+}  // namespace lichenlanding::cues
--- /dev/null
+++ b/src/foyer/foyer.cpp
@@ -0,0 +1,364 @@
+#include "foyer/foyer.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "company/company.hpp"
+#include "cues/cues.hpp"
+#include "foyer/front.hpp"
+#include "wings/link.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::foyer {
+namespace {
+
+using namespace wings;
+
+constexpr std::size_t voters = 3;
+constexpr Nanos countsEvery = 1000 * ms;  // totals to the voters
+constexpr Nanos urgentEvery = 250 * ms;   // where bad answers have come since
+constexpr Nanos askAgain = 400 * ms;      // for a configuration that has not come
+constexpr Nanos sweepEvery = 250 * ms;
+constexpr Nanos takeOnFor = 3000 * ms;   // after SIGTERM, until clients have been led away
+constexpr Nanos leaveBefore = 500 * ms;  // of the grace, kept back
+
+struct Foyer {
+    explicit Foyer(const playbill::Boot& boot_)
+        : boot(boot_),
+          seed(std::random_device{}()),
+          casting(boot, seed),
+          upstream(io),
+          front(io, casting, upstream),
+          clients(listen(io, boot.front)),
+          probes(listen(io, boot.readiness)),
+          peers(listen(io, boot.internal(boot.ip))) {
+        life = (static_cast<std::uint64_t>(seed) << 20) ^ static_cast<std::uint64_t>(wallMillis());
+        owner = std::make_shared<Link::Owner>();
+        owner->greet = [this](Link& link) { return greet(link); };
+        owner->heard = [this](Link& link, const Json& message) { heard(link, message); };
+        owner->closed = [this](Link& link) { closed(link); };
+    }
+
+    // ---- Company: links to prompters and to voters. ----
+
+    Json greet(Link&) const {
+        return {{"t", "hello"},
+                {"kind", "foyer"},
+                {"name", boot.name},
+                {"at", boot.internal(boot.ip)},
+                {"life", life}};
+    }
+
+    void dial(const std::string& address) {
+        auto& dialer = dialers[address];
+        if (dialer) return;
+        dialer = std::make_shared<Dialer>(io, address, owner);
+        dialer->go();
+    }
+
+    void dialSeeds() {
+        for (const auto& seedAddress : boot.seeds) dial(boot.internal(hostOf(seedAddress)));
+    }
+
+    void heard(Link& link, const Json& message) {
+        const auto& kind = message.at("t").get_ref<const std::string&>();
+        if (kind == "hello") {
+            link.kind = message.at("kind").get<std::string>();
+            if (link.kind == "prompter")
+                for (const auto& member : message.at("members")) dial(member.get<std::string>());
+        } else if (kind == "cue") {
+            const auto version = message.at("configuration").get<std::uint32_t>();
+            if (version > newest) newest = version;
+            ask(link);
+        } else if (kind == "configuration") {
+            take(message.at("body").get_ref<const std::string&>());
+            acknowledge();
+        } else if (kind == "pods") {
+            pods(message);
+        } else if (kind == "roster") {
+            rosters[link.peer] = message.at("foyers").get<std::map<std::string, std::string>>();
+            enrol();
+        } else if (kind == "rollouts") {
+            auto told = cues::readRollouts(message.at("list").get_ref<const std::string&>());
+            const auto number = message.at("number").get<std::int64_t>();
+            rolloutsKnown = true;
+            if (number > rolloutsNumber) rolloutsNumber = number, casting.rollouts(std::move(told), now());
+            watchRollouts();
+        } else if (kind == "counts") {
+            pool(message);
+        }
+    }
+
+    void closed(Link& link) {
+        rosters.erase(link.peer);
+        enrol();
+    }
+
+    void ask(Link& link) {
+        const auto held = casting.playbill() ? casting.playbill()->version : 0;
+        if (newest <= held || now() < askedAt + (askedFor == newest ? askAgain : 0)) return;
+        askedAt = now(), askedFor = newest;
+        link.send(Json{{"t", "want"}, {"configuration", newest}});
+    }
+
+    void take(const std::string& body) {
+        try {
+            casting.take(std::make_shared<const playbill::Playbill>(playbill::Playbill::read(body)));
+        } catch (const playbill::Refusal& wrong) {
+            log("configuration_unreadable", {{"step", "take"}, {"error", wrong.what()}});
+        }
+    }
+
+    void acknowledge() {
+        const Json message{{"t", "ack"},
+                           {"configuration", casting.playbill() ? casting.playbill()->version : 0}};
+        const auto packed = Link::pack(message);
+        for (const auto& link : prompters()) link->send(packed);
+    }
+
+    std::vector<std::shared_ptr<Link>> prompters() const {
+        std::vector<std::shared_ptr<Link>> open;
+        for (const auto& [_, dialer] : dialers)
+            if (auto link = dialer->link(); link && link->kind == "prompter") open.push_back(link);
+        return open;
+    }
+
+    void pods(const Json& message) {
+        std::vector<troupe::Event> events;
+        std::vector<troupe::Member> members;
+        for (const auto& member : message.at("set")) members.push_back(cues::readMember(member));
+        if (message.at("whole").get<bool>()) {
+            events = troupe.towards(members, 0);
+        } else {
+            for (const auto& member : members) events.push_back({0, member, false});
+            for (const auto& id : message.at("gone")) {
+                troupe::Event event{0, {}, true};
+                event.member.id = id.get<std::string>();
+                events.push_back(event);
+            }
+        }
+        for (const auto& event : events)
+            if (troupe.apply(event)) casting.apply(event, now());
+        listed = true;
+    }
+
+    void enrol() {
+        foyers.clear();
+        for (const auto& [_, roster] : rosters) foyers.insert(roster.begin(), roster.end());
+        foyers[boot.name] = boot.internal(boot.ip);
+        casting.company(foyers.size());
+    }
+
+    // ---- Rollouts: totals to voters, judgements of our own. ----
+
+    std::vector<std::string> votersOf(const cues::Rollout& rollout) const {
+        std::vector<std::string> names;
+        for (const auto& [name, _] : foyers) names.push_back(name);
+        return company::chosen(names, rollout.service + "\n" + rollout.target, voters);
+    }
+
+    void watchRollouts() {
+        const auto& all = casting.rollouts();
+        const bool running =
+            std::any_of(all.begin(), all.end(), [](const auto& one) { return one.running(); });
+        if (!running || counting) return;
+        counting = true;
+        start(io, "counts", count());
+    }
+
+    Task<> count() {
+        Nanos told = 0;
+        std::uint64_t badTold = 0;
+        for (bool running = true; running;) {
+            co_await sleep(urgentEvery);
+            const bool due = now() - told >= countsEvery || casting.badSeen() > badTold;
+            running = false;
+            for (const auto& rollout : casting.rollouts()) {
+                if (!rollout.running()) continue;
+                running = true;
+                if (due) tell(rollout);
+                judge(rollout);
+            }
+            if (due) told = now(), badTold = casting.badSeen();
+        }
+        counting = false;
+        pools.clear();
+    }
+
+    void tell(const cues::Rollout& rollout) {
+        const auto& totals = casting.totals(rollout.service, rollout.target);
+        const auto key = rollout.service + "\n" + rollout.target;
+        ++counted;
+        std::shared_ptr<const std::string> packed;
+        for (const auto& voter : votersOf(rollout)) {
+            if (voter == boot.name) {
+                pools[key].take(boot.name, life, counted, totals);
+                continue;
+            }
+            const auto& address = foyers.at(voter);
+            dial(address);
+            if (!packed)
+                packed = Link::pack(Json{{"t", "counts"},
+                                         {"from", boot.name},
+                                         {"life", life},
+                                         {"number", counted},
+                                         {"rollout", key},
+                                         {"totals", cues::write(totals)}});
+            if (auto link = dialers.at(address)->link()) link->send(packed);
+        }
+    }
+
+    void pool(const Json& message) {
+        pools[message.at("rollout").get<std::string>()].take(
+            message.at("from").get<std::string>(), message.at("life").get<std::uint64_t>(),
+            message.at("number").get<std::uint64_t>(), cues::readTotals(message.at("totals")));
+    }
+
+    void judge(const cues::Rollout& rollout) {
+        const auto chosen = votersOf(rollout);
+        if (std::find(chosen.begin(), chosen.end(), boot.name) == chosen.end()) return;
+        const auto key = rollout.service + "\n" + rollout.target;
+        auto& next = judgeNext[key];
+        if (now() < next) return;
+        next = now() + 2 * urgentEvery;
+        const auto judged = verdict::judge(pools[key].sum(), chance);
+        const Json vote{{"t", "vote"},
+                        {"from", boot.name},
+                        {"service", rollout.service},
+                        {"target", rollout.target},
+                        {"stage", rollout.stage},
+                        {"verdict", static_cast<int>(judged.verdict)},
+                        {"fresh", judged.fresh},
+                        {"earlier", judged.earlier},
+                        {"bad", judged.bad},
+                        {"lower", judged.bounds.lowerChance},
+                        {"upper", judged.bounds.upperChance}};
+        const auto packed = Link::pack(vote);
+        for (const auto& link : prompters()) link->send(packed);
+    }
+
+    // ---- Readiness, stopping, small change. ----
+
+    bool ready() const { return !leaving && casting.playbill() && listed && rolloutsKnown; }
+
+    Task<> probe(tcp::socket socket) {
+        beast::flat_buffer buffer;
+        for (;;) {
+            http::request<http::empty_body> request;
+            Code code;
+            co_await http::async_read(socket, buffer, request, told(code));
+            if (code) co_return;
+            http::response<http::empty_body> response(
+                ready() ? http::status::ok : http::status::service_unavailable, 11);
+            response.content_length(0);
+            response.keep_alive(request.keep_alive());
+            co_await http::async_write(socket, response, told(code));
+            if (code || !response.keep_alive()) co_return;
+        }
+    }
+
+    Task<> serveProbes() {
+        while (probes.is_open()) {
+            Code code;
+            auto socket = co_await probes.async_accept(told(code));
+            if (code == asio::error::operation_aborted) co_return;
+            if (!code) start(io, "readiness", probe(std::move(socket)));
+        }
+    }
+
+    Task<> tend() {
+        for (bool was = false;;) {
+            co_await sleep(sweepEvery);
+            front.sweep(now());
+            upstream.sweep(now());
+            if (newest > (casting.playbill() ? casting.playbill()->version : 0))
+                for (const auto& link : prompters()) ask(*link);
+            if (ready() != was) {
+                was = ready();
+                log(was ? "ready" : "unready",
+                    {{"configuration",
+                      casting.playbill() ? playbill::versionText(casting.playbill()->version) : ""},
+                     {"pods", casting.actors().size()},
+                     {"foyers", foyers.size()},
+                     {"leaving", leaving}});
+            }
+        }
+    }
+
+    Task<> leave() {
+        const Nanos began = now(), end = began + boot.grace - leaveBefore;
+        log("leaving", {{"open", front.open()}});
+        front.drain();
+        co_await sleep(std::min(takeOnFor, boot.grace / 2));
+        Code ignored;
+        clients.close(ignored);
+        while (front.open() > 0 && now() < end) {
+            front.closeIdle();
+            co_await sleep(30 * ms);
+        }
+        log("left", {{"open", front.open()},
+                     {"served", front.served},
+                     {"refused", front.refused},
+                     {"failed", front.failed}});
+        io.stop();
+    }
+
+    void reload() {
+        try {
+            boot = playbill::Boot::fromEnvironment();
+            dialSeeds();
+            log("settings_read", {});
+        } catch (const std::exception& wrong) {
+            log("settings_refused", {{"step", "reload"}, {"error", wrong.what()}});
+        }
+    }
+
+    void run() {
+        enrol();
+        signals(
+            io,
+            [this] {
+                if (std::exchange(leaving, true)) return;
+                start(io, "leave", leave());
+            },
+            [this] { reload(); });
+        log("start", {{"seed", seed}, {"life", life}});
+        dialSeeds();
+        start(io, "links", serveLinks(io, peers, owner));
+        start(io, "clients", front.serve(clients));
+        start(io, "readiness", serveProbes());
+        start(io, "tend", tend());
+        io.run();
+    }
+
+    playbill::Boot boot;
+    asio::io_context io{1};
+    std::uint32_t seed;
+    std::uint64_t life = 0, counted = 0;
+    casting::Casting casting;
+    Upstream upstream;
+    Front front;
+    tcp::acceptor clients, probes, peers;
+    std::shared_ptr<Link::Owner> owner;
+    std::map<std::string, std::shared_ptr<Dialer>> dialers;             // by address
+    std::map<std::string, std::map<std::string, std::string>> rosters;  // by prompter: foyers and addresses
+    std::map<std::string, std::string> foyers;
+    std::map<std::string, verdict::Pool> pools;
+    std::map<std::string, Nanos> judgeNext;
+    std::mt19937 chance{std::random_device{}()};
+    troupe::Troupe troupe;
+    std::uint32_t newest = 0, askedFor = 0;
+    Nanos askedAt = 0;
+    std::int64_t rolloutsNumber = -1;
+    bool listed = false, rolloutsKnown = false, leaving = false, counting = false;
+};
+
+}  // namespace
+
+void run(const playbill::Boot& boot) {
+    openLog(boot.name);
+    Foyer(boot).run();
+}
+
+}  // namespace lichenlanding::foyer
--- /dev/null
+++ b/src/foyer/foyer.hpp
@@ -0,0 +1,12 @@
+// The foyer: the gateway's program on machines that clients reach. It puts links, clients and pods around
+// the pure rooms; decisions are theirs.
+#pragma once
+
+#include "playbill/boot.hpp"
+
+namespace lichenlanding::foyer {
+
+// Serves until SIGTERM has been carried out. Throws on settings or addresses that cannot be used.
+void run(const playbill::Boot& boot);
+
+}  // namespace lichenlanding::foyer
--- /dev/null
+++ b/src/foyer/front.cpp
@@ -0,0 +1,347 @@
+#include "foyer/front.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "text.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::foyer {
+namespace {
+
+using namespace wings;
+using casting::End;
+
+constexpr std::size_t aheadAtMost = 32;    // requests of one connection that are read and unanswered
+constexpr Nanos connectWithin = 250 * ms;  // a pod's connection comes up, or it is left
+constexpr Nanos bodyWithin = 30 * second;  // a request's body
+constexpr Nanos unreadFor = 10 * second;   // a client that does not take its answers
+constexpr Nanos whileUnready = 300 * ms;   // told to clients that come before the first configuration
+constexpr Nanos clientTimeUnlessTold = 60 * second;
+
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+Response own(int status, const char* reason, Nanos retryAfter = 0) {
+    Response response(static_cast<http::status>(status), 11);
+    response.set(http::field::content_type, "application/json");
+    if (retryAfter > 0) {
+        char text[16];
+        std::snprintf(text, sizeof text, "%.3f", static_cast<double>(retryAfter) / 1e9);
+        response.set(http::field::retry_after, text);
+    }
+    response.body() = std::string("{\"error\":\"") + reason + "\"}\n";
+    return response;
+}
+
+// Headers that concern one connection alone, and those that Connection names.
+template <typename Fields>
+void strip(Fields& fields) {
+    if (const auto named = fields.find(http::field::connection); named != fields.end()) {
+        const std::string list(named->value());
+        for (auto name : split(list, ',')) {
+            const auto first = name.find_first_not_of(" \t");
+            if (first == name.npos) continue;
+            name = name.substr(first, name.find_last_not_of(" \t") - first + 1);
+            if (name != "close" && name != "keep-alive")
+                fields.erase(boost::beast::string_view(name.data(), name.size()));
+        }
+    }
+    for (const auto field :
+         {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
+          http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect})
+        fields.erase(field);
+}
+
+}  // namespace
+
+struct Front::Exchange {
+    Request request;
+    Response response;
+    bool ready = false;
+    bool last = false;  // its connection ends with the answer
+    bool skipBody = false;
+    casting::Try way;
+    std::shared_ptr<const playbill::Playbill> playbill;  // keeps the route
+    std::shared_ptr<Bell> bell;
+    std::vector<std::shared_ptr<Attempt>> attempts;
+};
+
+struct Front::Session {
+    Session(tcp::socket&& taken, asio::io_context& io) : socket(std::move(taken)), room(io) {}
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    std::deque<std::shared_ptr<Exchange>> queue;
+    Bell room;
+    std::uint64_t number = 0;
+    bool writing = false, reading = true, dead = false, idle = false;
+    Nanos readBy = 0, writingSince = 0;
+    bool late = false;  // what it was to have read by then has not come
+
+    void kill() {
+        dead = true;
+        Code ignored;
+        socket.close(ignored);
+        room.ring();
+    }
+};
+
+Front::Front(asio::io_context& io, casting::Casting& casting, Upstream& upstream)
+    : io_(io), casting_(casting), upstream_(upstream) {}
+Front::~Front() = default;
+
+Task<> Front::serve(tcp::acceptor& acceptor) {
+    while (acceptor.is_open()) {
+        Code code;
+        auto socket = co_await acceptor.async_accept(told(code));
+        if (code == asio::error::operation_aborted) co_return;
+        if (code) {
+            log("accept_failed", {{"step", "accept"}, {"error", code.message()}});
+            co_await sleep(20 * ms);
+            continue;
+        }
+        Code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto session = std::make_shared<Session>(std::move(socket), io_);
+        session->number = ++arrivals_;
+        sessions_[session->number] = session;
+        start(io_, "client", read(session));
+    }
+}
+
+void Front::drain() { draining_ = true; }
+
+void Front::closeIdle() {
+    std::vector<std::shared_ptr<Session>> idle;
+    for (const auto& [_, session] : sessions_)
+        if (session->idle && session->queue.empty() && !session->writing) idle.push_back(session);
+    for (const auto& session : idle) session->kill();
+}
+
+void Front::sweep(Nanos now) {
+    std::vector<std::shared_ptr<Session>> late;
+    for (const auto& [_, session] : sessions_) {
+        const bool unread = session->writing && now - session->writingSince > unreadFor;
+        if ((session->readBy > 0 && now > session->readBy && session->queue.empty() && !session->writing) ||
+            unread)
+            late.push_back(session);
+    }
+    for (const auto& session : late) {
+        session->late = true;
+        Code ignored;
+        if (session->writing) session->kill();
+        else session->socket.cancel(ignored);
+    }
+}
+
+Task<> Front::read(std::shared_ptr<Session> session) {
+    const auto bounds = [&] {
+        return casting_.playbill() ? casting_.playbill()->bounds : playbill::Bounds{};
+    };
+    const auto answer = [&](Response response) {
+        auto exchange = std::make_shared<Exchange>();
+        exchange->response = std::move(response);
+        exchange->last = true;
+        session->queue.push_back(exchange);
+        ready(session, exchange);
+    };
+    while (!session->dead) {
+        const auto limits = bounds();
+        Code code;
+        if (session->buffer.size() == 0) {
+            session->idle = true;
+            session->readBy = now() + limits.idleTimeout;
+            const auto space = session->buffer.prepare(4096);
+            const auto read = co_await session->socket.async_read_some(space, told(code));
+            session->idle = false;
+            if (code) break;
+            session->buffer.commit(read);
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        parser.body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
+        session->readBy = now() + limits.headerTimeout;
+        co_await http::async_read_header(session->socket, session->buffer, parser, told(code));
+        if (!code && !parser.is_done()) {
+            session->readBy = now() + bodyWithin;
+            if (view(parser.get()[http::field::expect]) == "100-continue" && session->queue.empty()) {
+                http::response<http::string_body> go(http::status::continue_, 11);
+                static const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await asio::async_write(session->socket, asio::buffer(text), told(code));
+            }
+            if (!code) co_await http::async_read(session->socket, session->buffer, parser, told(code));
+        }
+        session->readBy = 0;
+        if (code) {
+            if (session->late && !session->dead) answer(own(408, "request not read in time"));
+            else if (code == http::error::header_limit)
+                answer(own(431, "header is larger than max_header_bytes"));
+            else if (code == http::error::body_limit) answer(own(413, "body is larger than max_body_bytes"));
+            else if (code.category() == make_error_code(http::error::bad_version).category() &&
+                     code != http::error::end_of_stream && code != http::error::partial_message)
+                answer(own(400, "request cannot be read"));
+            break;
+        }
+        auto exchange = std::make_shared<Exchange>();
+        exchange->request = parser.release();
+        exchange->last = !exchange->request.keep_alive();
+        exchange->skipBody = exchange->request.method() == http::verb::head;
+        session->queue.push_back(exchange);
+        start(io_, "request", play(session, exchange));
+        if (exchange->last) break;
+        while (session->queue.size() >= aheadAtMost && !session->dead)
+            co_await session->room.wait(now() + second);
+        if (draining_ && session->queue.empty()) break;
+    }
+    session->reading = false;
+    if (session->queue.empty() && !session->writing) {
+        session->kill();
+        sessions_.erase(session->number);
+    }
+}
+
+void Front::ready(const std::shared_ptr<Session>& session, const std::shared_ptr<Exchange>& exchange) {
+    exchange->ready = true;
+    if (session->writing || !session->queue.front()->ready) return;
+    session->writing = true;
+    start(io_, "answer", write(session));
+}
+
+Task<> Front::write(std::shared_ptr<Session> session) {
+    while (!session->dead && !session->queue.empty() && session->queue.front()->ready) {
+        const auto exchange = session->queue.front();
+        auto& response = exchange->response;
+        // Leaving: the last answer of what has been read says so.
+        const bool last = (exchange->last || draining_) && session->queue.size() == 1;
+        strip(response);
+        response.version(11);
+        response.keep_alive(!last);
+        if (!exchange->skipBody && response.result_int() != 204 && response.result_int() != 304)
+            response.content_length(response.body().size());
+        http::response_serializer<http::string_body> serializer(response);
+        if (exchange->skipBody) serializer.split(true);
+        session->writingSince = now();
+        Code code;
+        if (exchange->skipBody) co_await http::async_write_header(session->socket, serializer, told(code));
+        else co_await http::async_write(session->socket, serializer, told(code));
+        session->queue.pop_front();
+        if (code) {
+            session->kill();
+            break;
+        }
+        session->room.ring();
+        if (last) {
+            Code ignored;
+            session->socket.shutdown(tcp::socket::shutdown_send, ignored);
+            session->reading = false;
+            // What the client has sent meanwhile is read away for a moment: closing on it would reset the
+            // connection under an answer that may not have arrived.
+            session->readBy = now() + 300 * ms;
+            char away[1024];
+            while (!code && !session->dead)
+                co_await session->socket.async_read_some(asio::buffer(away), told(code));
+            session->kill();
+        }
+    }
+    session->writing = false;
+    if (session->dead || (!session->reading && session->queue.empty())) {
+        session->kill();
+        sessions_.erase(session->number);
+    }
+}
+
+Task<> Front::attempt(std::shared_ptr<Exchange> exchange, std::shared_ptr<Attempt> attempt) {
+    auto& way = exchange->way;
+    auto& actor = *attempt->actor;
+    co_await upstream_.call(attempt, std::shared_ptr<const Request>(exchange, &exchange->request),
+                            way.deadline, !way.route->repeatable, casting_.linesAtMost(actor));
+    const auto at = now();
+    const auto& response = attempt->response;
+    if (const auto load = response.find("X-Instance-Load"); load != response.end()) {
+        const auto parts = split(view(load->value()), ',');
+        int running = 0, waiting = 0;
+        if (parts.size() >= 2 && parse(parts[0], running) && parse(parts[1], waiting))
+            casting_.reported(actor, running, waiting, at);
+    }
+    attempt->done = true;
+    casting_.ended(way, actor, attempt->end, static_cast<int>(response.result_int()), at - attempt->began,
+                   at);
+    exchange->bell->ring();
+}
+
+Task<> Front::play(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange) {
+    auto& request = exchange->request;
+    const auto finish = [&](Response response, std::uint64_t& count) {
+        ++count;
+        exchange->response = std::move(response);
+        ready(session, exchange);
+    };
+    if (!casting_.playbill()) co_return finish(own(503, "no configuration yet", whileUnready), refused);
+    if (request["X-Attempt-Id"].empty()) co_return finish(own(400, "X-Attempt-Id is missing"), refused);
+    Nanos clientTime = clientTimeUnlessTold;
+    if (const auto told = view(request["X-Deadline-Ms"]); !told.empty()) {
+        double millis = 0;
+        if (!parse(told, millis) || !(millis >= 0))
+            co_return finish(own(400, "X-Deadline-Ms is no number"), refused);
+        clientTime = static_cast<Nanos>(std::min(millis, 6e5) * 1e6);
+    }
+    exchange->playbill = casting_.playbill();
+    auto& way = exchange->way;
+    if (!casting_.begin(way, view(request[http::field::host]), view(request.target()), now(), clientTime))
+        co_return finish(own(404, "no route"), refused);
+    strip(request);
+    const auto method = request.method();
+    if (!request.body().empty() ||
+        (method != http::verb::get && method != http::verb::head && method != http::verb::delete_))
+        request.content_length(request.body().size());
+    exchange->bell = std::make_shared<Bell>(io_);
+    std::shared_ptr<Attempt> fallback;  // an answer of a pod that another try might better
+    auto last = End::unreached;
+    std::size_t seen = 0;  // attempts whose end was looked at, counted from the front as they ended
+    std::vector<bool> looked;
+    Nanos hedgeAt = way.deadline;
+    bool wanted = true;  // another send, if casting has one
+    for (;;) {
+        if (wanted) {
+            wanted = false;
+            if (auto actor = casting_.next(way, now())) {
+                auto sent = std::make_shared<Attempt>();
+                sent->actor = std::move(actor);
+                sent->began = now();
+                exchange->attempts.push_back(sent);
+                looked.push_back(false);
+                hedgeAt = casting_.hedgeAt(way, now());
+                start(io_, "send", attempt(exchange, sent));
+            }
+        }
+        if (way.out == 0 && seen == exchange->attempts.size()) break;  // given up, at once
+        Nanos until = std::min(way.deadline, hedgeAt);
+        for (const auto& sent : exchange->attempts)
+            if (!sent->done && !sent->connected) until = std::min(until, sent->began + connectWithin);
+        const bool rang = co_await exchange->bell->wait(until);
+        const auto at = now();
+        if (!rang) {
+            for (const auto& sent : exchange->attempts)
+                if (!sent->done &&
+                    ((!sent->connected && at >= sent->began + connectWithin) || at >= way.deadline))
+                    sent->abort();
+            if (at >= hedgeAt && at < way.deadline) hedgeAt = way.deadline, wanted = true;
+        }
+        for (std::size_t index = 0; index < exchange->attempts.size(); ++index) {
+            const auto& sent = exchange->attempts[index];
+            if (!sent->done || looked[index]) continue;
+            looked[index] = true, ++seen;
+            last = sent->end;
+            if (sent->end == End::answered && (sent->response.result_int() < 500 || !way.route->repeatable))
+                co_return finish(std::move(sent->response), served);
+            if (sent->end == End::answered) fallback = sent;
+            if (way.out == 0) wanted = true;
+        }
+    }
+    if (fallback) co_return finish(std::move(fallback->response), served);
+    const auto refusal = casting_.refusal(way, last, now());
+    finish(own(refusal.status, refusal.status == 503 ? "no pod can take it now" : "the pod's answer was lost",
+               refusal.retryAfter),
+           refusal.status == 503 ? refused : failed);
+}
+
+}  // namespace lichenlanding::foyer
--- /dev/null
+++ b/src/foyer/front.hpp
@@ -0,0 +1,40 @@
+// A foyer's clients: connections, requests read ahead and answered in order, and each request's way through
+// casting and the pods.
+#pragma once
+
+#include "foyer/upstream.hpp"
+
+namespace lichenlanding::foyer {
+
+class Front {
+  public:
+    Front(asio::io_context& io, casting::Casting& casting, Upstream& upstream);
+    ~Front();
+
+    wings::Task<> serve(wings::tcp::acceptor& acceptor);
+    // Answers end their connections from now on; what is read is answered.
+    void drain();
+    void closeIdle();
+    std::size_t open() const { return sessions_.size(); }
+    void sweep(Nanos now);
+
+    std::uint64_t served = 0, refused = 0, failed = 0;
+
+  private:
+    struct Session;
+    struct Exchange;
+    wings::Task<> read(std::shared_ptr<Session> session);
+    wings::Task<> write(std::shared_ptr<Session> session);
+    wings::Task<> play(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange);
+    wings::Task<> attempt(std::shared_ptr<Exchange> exchange, std::shared_ptr<Attempt> attempt);
+    void ready(const std::shared_ptr<Session>& session, const std::shared_ptr<Exchange>& exchange);
+
+    asio::io_context& io_;
+    casting::Casting& casting_;
+    Upstream& upstream_;
+    std::map<std::uint64_t, std::shared_ptr<Session>> sessions_;  // by the order of arrival
+    std::uint64_t arrivals_ = 0;
+    bool draining_ = false;
+};
+
+}  // namespace lichenlanding::foyer
--- /dev/null
+++ b/src/foyer/upstream.cpp
@@ -0,0 +1,159 @@
+#include "foyer/upstream.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "text.hpp"
+
+namespace lichenlanding::foyer {
+namespace {
+
+using namespace wings;
+using casting::End;
+
+constexpr Nanos idleUnlessTold = 4 * second;  // how long a pod is taken to keep an idle connection
+constexpr double idlePart = 0.7;              // of what it says
+constexpr Nanos carefulIdle = 1500 * ms;      // on which a request that may run once is still sent
+constexpr std::uint64_t answerAtMost = 64 << 20;
+constexpr int surplusAtMost = 2;  // answers to other requests that are read past
+
+// Nothing to read and not closed: the pod has neither ended it nor sent what belongs to no request.
+bool quiet(tcp::socket& socket) {
+    char byte;
+    const auto read = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+Nanos keepAlive(const Response& response) {
+    const auto told = response.find(http::field::keep_alive);
+    if (told == response.end()) return idleUnlessTold;
+    const std::string_view text(told->value().data(), told->value().size());
+    const auto at = text.find("timeout=");
+    int seconds = 0;
+    if (at == text.npos) return idleUnlessTold;
+    auto number = text.substr(at + 8);
+    number = number.substr(0, number.find_first_not_of("0123456789"));
+    return parse(number, seconds) ? seconds * second : idleUnlessTold;
+}
+
+}  // namespace
+
+void Attempt::abort() {
+    if (done) return;
+    overdue = true;
+    Code ignored;
+    if (line) line->socket.close(ignored);
+}
+
+std::shared_ptr<Line> Upstream::kept(const casting::Actor& actor, bool careful) {
+    const auto at = places_.find(actor.listed.id);
+    if (at == places_.end()) return nullptr;
+    auto& idle = at->second.idle;
+    while (!idle.empty()) {
+        auto line = idle.back();
+        const Nanos age = now() - line->idleSince;
+        if (careful && age > std::min(carefulIdle, line->idleFor))
+            return nullptr;  // and so are all before it
+        idle.pop_back();
+        if (age < line->idleFor && quiet(line->socket)) return line;
+    }
+    return nullptr;
+}
+
+void Upstream::keep(const std::shared_ptr<casting::Actor>& actor, std::shared_ptr<Line> line) {
+    line->idleSince = now();
+    auto& place = places_[actor->listed.id];
+    place.actor = actor;
+    place.idle.push_back(std::move(line));
+}
+
+void Upstream::sweep(Nanos now) {
+    for (auto at = places_.begin(); at != places_.end();) {
+        auto& place = at->second;
+        while (!place.idle.empty() &&
+               (place.actor->gone || now - place.idle.front()->idleSince > place.idle.front()->idleFor))
+            place.idle.pop_front();
+        at = place.idle.empty() ? places_.erase(at) : std::next(at);
+    }
+}
+
+Task<> Upstream::call(std::shared_ptr<Attempt> attempt, std::shared_ptr<const Request> request,
+                      Nanos deadline, bool careful, int linesAtMost) {
+    auto& actor = *attempt->actor;
+    attempt->began = now();
+    auto line = kept(actor, careful);
+    Code code;
+    if (!line) {
+        if (actor.lines >= linesAtMost) co_return;  // unreached
+        line = std::make_shared<Line>(io_, attempt->actor);
+        attempt->line = line;
+        co_await line->socket.async_connect(endpoint(actor.listed.address), told(code));
+        if (code || attempt->overdue) co_return;
+        tune(line->socket, 3 * second);
+    }
+    attempt->line = line;
+    attempt->connected = true;
+    attempt->end = End::cut;
+    const auto& id = (*request)["X-Attempt-Id"];
+    // The head is copied with what this send alone says; the body is not.
+    http::request<http::span_body<const char>> sent(http::request_header<>(request->base()));
+    sent.body() = {request->body().data(), request->body().size()};
+    sent.set("X-Deadline-Ms", std::to_string(std::max<Nanos>((deadline - now()) / ms, 1)));
+    sent.set("X-Target-Instance", actor.listed.id);
+    co_await http::async_write(line->socket, sent, told(code));
+    bool whole = false, surplus = false;
+    for (int read = 0; !code && read <= surplusAtMost; ++read) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(answerAtMost);
+        parser.skip(request->method() == http::verb::head);
+        co_await http::async_read(line->socket, line->buffer, parser, told(code));
+        if (code) {
+            const bool unreadable =
+                code.category() == make_error_code(http::error::end_of_stream).category() &&
+                code != http::error::end_of_stream && code != http::error::partial_message;
+            if (unreadable) attempt->end = End::spoilt;
+            break;
+        }
+        if (parser.get().result_int() < 200) {
+            --read;  // an interim answer
+            continue;
+        }
+        const auto theirs = parser.get()["X-Attempt-Id"];
+        if (theirs != id && !theirs.empty()) {
+            surplus = true;  // a late second answer to an earlier request, in the place of this one's
+            continue;
+        }
+        attempt->response = parser.release();
+        const auto& response = attempt->response;
+        const bool success = response.result_int() / 100 == 2;
+        // MIXED: a success is the pod's own only with its stamp, its id, and a length that shows it is whole.
+        const bool own =
+            theirs == id &&
+            (!success ||
+             (response.count("X-Response-Seal") > 0 && response.count(http::field::content_encoding) == 0)) &&
+            (response.has_content_length() || response.chunked() || response.result_int() == 204);
+        whole = true;
+        attempt->end = !own                                   ? End::spoilt
+                       : response.result_int() == 421         ? End::elsewhere
+                       : response.count("X-Not-Executed") > 0 ? End::turned
+                                                              : End::answered;
+        // 503 and 421 of a pod promise nothing without its word; only X-Not-Executed and 421 do.
+        break;
+    }
+    if (attempt->overdue && !whole) attempt->end = End::overdue;
+    const bool reusable = whole && !surplus && attempt->end != End::spoilt &&
+                          attempt->response.keep_alive() && line->buffer.size() == 0 && !actor.gone;
+    if (reusable) {
+        line->idleFor = static_cast<Nanos>(static_cast<double>(keepAlive(attempt->response)) * idlePart);
+        keep(attempt->actor, line);
+    } else {
+        Code ignored;
+        line->socket.close(ignored);
+    }
+    attempt->line.reset();
+}
+
+}  // namespace lichenlanding::foyer
--- /dev/null
+++ b/src/playbill/boot.hpp
@@ -0,0 +1,61 @@
+// What a process of the gateway is told at its start: the operators' settings file (DEPLOY, "What a process
+// is told"). Each setting is declared once below; fields that are not named here are ignored.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state.hpp"
+
+// Member, type, place in the file (a JSON pointer), needed or not.
+#define BOOT_SETTINGS(X)                                              \
+    X(name, std::string, "/node_name", true)                          \
+    X(ip, std::string, "/ip_address", true)                           \
+    X(zone, std::string, "/zone", true)                               \
+    X(front, std::string, "/listen_addresses/front_http", false)      \
+    X(readiness, std::string, "/listen_addresses/readiness", false)   \
+    X(control, std::string, "/listen_addresses/control_plane", false) \
+    X(internalPorts, std::vector<int>, "/internal_ports", true)       \
+    X(seeds, std::vector<std::string>, "/seed_nodes", true)           \
+    X(bootstrap, bool, "/bootstrap", false)                           \
+    X(quorumMember, bool, "/quorum_member", false)                    \
+    X(dataDir, std::string, "/data_dir", false)                       \
+    X(diskMegabytes, int, "/limits/disk_mb", false)                   \
+    X(machinesLost, int, "/fault_tolerance/machines", false)          \
+    X(list, std::string, "/cloud_api/address", true)                  \
+    X(listPerSecond, double, "/cloud_api/rate_per_s", false)
+
+// Member, name in `bounds`, kind, value where it is not told.
+#define BOOT_BOUNDS(X)                                              \
+    X(drain, "drain", duration, 2500 * 1'000'000ll)                 \
+    X(grace, "grace", duration, 6000 * 1'000'000ll)                 \
+    X(contact, "contact", duration, 3000 * 1'000'000ll)             \
+    X(budgetWindow, "retry_window", duration, 10'000 * 1'000'000ll) \
+    X(rollback, "rollback", duration, 5000 * 1'000'000ll)           \
+    X(budgetRatio, "retry_budget_ratio", number, 0.2)               \
+    X(budgetSlack, "retry_slack", number, 20.0)                     \
+    X(exposureShare, "exposure_share", number, 0.1)                 \
+    X(exposureSlack, "exposure_slack", number, 50.0)
+
+namespace lichenlanding::playbill {
+
+struct Boot {
+#define X(member, type, place, needed) type member{};
+    BOOT_SETTINGS(X)
+#undef X
+    using duration = Nanos;
+    using number = double;
+#define X(member, name, kind, otherwise) kind member = otherwise;
+    BOOT_BOUNDS(X)
+#undef X
+
+    // Of the process itself, and of any machine, by its IP: sidecars talk on the first internal port.
+    std::string internal(const std::string& ip) const;
+
+    // Throws std::runtime_error that names the field.
+    static Boot read(std::string_view bytes);
+    static Boot fromEnvironment();  // the file that LICHENLANDING_SETTINGS names
+};
+
+}  // namespace lichenlanding::playbill
--- /dev/null
+++ b/src/playbill/playbill.cpp
@@ -0,0 +1,232 @@
+#include "playbill/playbill.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "text.hpp"
+
+// Each setting once: C++ member, JSON name, kind, needed or not.
+#define ROUTE_SETTINGS(X)                       \
+    X(host, "hostname", text, true)             \
+    X(prefix, "path_prefix", text, true)        \
+    X(timeout, "timeout", duration, true)       \
+    X(target, "target_latency", duration, true) \
+    X(priority, "priority", count, false)       \
+    X(maxAttempts, "max_attempts", count, false)
+
+#define SERVICE_SETTINGS(X)                \
+    X(health, "health_check", text, false) \
+    X(maxConnections, "max_connections", count, false)
+
+#define BOUNDS_SETTINGS(X)                              \
+    X(headerBytes, "max_header_bytes", count, false)    \
+    X(bodyBytes, "max_body_bytes", count, false)        \
+    X(headerTimeout, "header_timeout", duration, false) \
+    X(idleTimeout, "idle_timeout", duration, false)
+
+namespace lichenlanding::playbill {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+constexpr Nanos longestTimeout = 600 * second;  // what the operators' page allows
+constexpr Nanos targetBeyond = 60 * second;     // a target latency so far above the timeout is a mistake
+
+std::string joined(const std::vector<std::string>& mistakes) {
+    std::string all;
+    for (const auto& mistake : mistakes) all += (all.empty() ? "" : "; ") + mistake;
+    return all;
+}
+
+// Reads the fields of one object and notes what is wrong with each.
+struct Reader {
+    const Json& object;
+    std::string path;
+    std::vector<std::string>& mistakes;
+
+    void wrong(const std::string& name, const std::string& what) const {
+        mistakes.push_back(path + "/" + name + ": " + what);
+    }
+    const Json* field(const char* name, bool needed) const {
+        const auto at = object.is_object() ? object.find(name) : object.end();
+        if (object.is_object() && at != object.end() && !at->is_null()) return &*at;
+        if (needed) wrong(name, "is missing");
+        return nullptr;
+    }
+    void text(std::string& value, const char* name, bool needed) const {
+        const auto* told = field(name, needed);
+        if (told && !told->is_string()) return wrong(name, "must be a text");
+        if (told) value = told->get<std::string>();
+    }
+    void duration(Nanos& value, const char* name, bool needed) const {
+        const auto* told = field(name, needed);
+        if (!told) return;
+        try {
+            value = span(told->is_string() ? told->get<std::string>() : "");
+        } catch (const std::invalid_argument&) {
+            wrong(name, "must be a time as text, such as \"1500ms\" or \"2.5s\"");
+        }
+    }
+    void count(std::int64_t& value, const char* name, bool needed) const {
+        const auto* told = field(name, needed);
+        if (!told) return;
+        if (!told->is_number_integer() || told->get<double>() < 0 || told->get<double>() > 1e15)
+            return wrong(name, "must be a whole number, 0 or more");
+        value = told->get<std::int64_t>();
+    }
+};
+
+Route route(const Reader& from, const std::string& name) {
+    Route made;
+    made.name = name;
+#define X(member, key, kind, needed) from.kind(made.member, key, needed);
+    ROUTE_SETTINGS(X)
+#undef X
+    std::string kind;
+    from.text(kind, "route_class", true);
+    made.repeatable = kind == "idempotent";
+    if (!kind.empty() && !made.repeatable && kind != "non_idempotent")
+        from.wrong("route_class", "must be idempotent or non_idempotent");
+    if (made.prefix.empty() || made.prefix.front() != '/' || made.prefix.back() != '/')
+        from.wrong("path_prefix", "must begin and end with a slash");
+    if (made.timeout > longestTimeout) from.wrong("timeout", "must be ten minutes or less");
+    if (made.timeout <= 0) from.wrong("timeout", "must be above 0");
+    if (made.target >= made.timeout + targetBeyond)
+        from.wrong("target_latency", "must be less than a minute above the timeout");
+    made.maxAttempts = std::max<std::int64_t>(made.maxAttempts, 1);
+    std::string one;
+    from.text(one, "service_name", false);
+    const auto* split = from.field("traffic_split", false);
+    if (split && split->is_array()) {
+        made.weights = 0;
+        for (std::size_t at = 0; at < split->size(); ++at) {
+            const Reader part{(*split)[at], from.path + "/traffic_split/" + std::to_string(at),
+                              from.mistakes};
+            Share share;
+            part.text(share.service, "service_name", true);
+            part.count(share.weight, "weight", true);
+            made.weights += share.weight;
+            made.shares.push_back(share);
+        }
+        if (made.weights <= 0) from.wrong("traffic_split", "weights must sum to more than 0");
+    } else if (!one.empty()) {
+        made.shares.push_back({one, 1});
+    } else {
+        from.wrong("service_name", "is missing, and so is traffic_split");
+    }
+    return made;
+}
+
+}  // namespace
+
+Refusal::Refusal(std::vector<std::string> found) : std::runtime_error(joined(found)), mistakes(found) {}
+
+Nanos span(std::string_view text) {
+    const auto unit = text.find_first_not_of("0123456789.");
+    const auto kind = unit == text.npos ? "" : text.substr(unit);
+    double number = 0;
+    const bool read = unit != text.npos && unit > 0 && parse(text.substr(0, unit), number);
+    if (!read || !(number >= 0) || number > 1e9 || (kind != "ms" && kind != "s"))
+        throw std::invalid_argument("no time: " + std::string(text));
+    return static_cast<Nanos>(std::llround(number * static_cast<double>(kind == "ms" ? ms : second)));
+}
+
+std::string versionText(std::uint32_t version) {
+    constexpr char digits[] = "0123456789abcdef";
+    std::string text(8, '0');
+    for (std::size_t at = 8; at-- > 0; version >>= 4) text[at] = digits[version & 15];
+    return text;
+}
+
+const std::string& Route::service(std::int64_t at) const {
+    for (const auto& share : shares) {
+        if (at < share.weight) return share.service;
+        at -= share.weight;
+    }
+    return shares.back().service;
+}
+
+Playbill Playbill::read(std::string_view bytes) {
+    Playbill made;
+    std::vector<std::string> mistakes;
+    const auto told = Json::parse(bytes, nullptr, false);
+    if (told.is_discarded()) throw Refusal({"body: cannot be read in full as JSON"});
+    if (!told.is_object()) throw Refusal({"body: must be an object"});
+    const Reader top{told, "", mistakes};
+    std::string version;
+    top.text(version, "config_version", true);
+    const auto* end = version.data() + version.size();
+    if (version.size() != 8 || std::from_chars(version.data(), end, made.version, 16).ptr != end)
+        top.wrong("config_version", "must be eight hexadecimal digits");
+    const auto* resources = top.field("resources", true);
+    if (resources && !resources->is_array()) top.wrong("resources", "must be a list");
+    static const Json none = Json::object();
+    for (std::size_t at = 0; resources && resources->is_array() && at < resources->size(); ++at) {
+        const Reader entry{(*resources)[at], "/resources/" + std::to_string(at), mistakes};
+        std::string type, name;
+        entry.text(type, "resource_type", true);
+        const auto *metadata = entry.field("metadata", false), *spec = entry.field("spec", true);
+        const Reader about{metadata ? *metadata : none, entry.path + "/metadata", mistakes};
+        const Reader from{spec ? *spec : none, entry.path + "/spec", mistakes};
+        if (type == "route_table") {
+            about.text(name, "name", true);
+            if (spec) made.routes.push_back(route(from, name));
+        } else if (type == "service_table") {
+            auto& service = made.services.emplace_back();
+            about.text(service.name, "name", true);
+#define X(member, key, kind, needed) from.kind(service.member, key, needed);
+            SERVICE_SETTINGS(X)
+#undef X
+        } else if (type == "limits") {
+#define X(member, key, kind, needed) from.kind(made.bounds.member, key, needed);
+            BOUNDS_SETTINGS(X)
+#undef X
+        } else if (!type.empty()) {
+            entry.wrong("resource_type", "must be route_table, service_table or limits");
+        }
+    }
+    std::set<std::string> known;
+    for (const auto& service : made.services)
+        if (!known.insert(service.name).second)
+            mistakes.push_back("service_table " + service.name + ": is there twice");
+    for (std::size_t at = 0; at < made.routes.size(); ++at) {
+        const auto& route = made.routes[at];
+        const auto where = "route_table " + route.name + ": ";
+        for (const auto& share : route.shares)
+            if (!known.contains(share.service))
+                mistakes.push_back(where + "service " + share.service + " is not in any service_table");
+        if (!made.places_.emplace(route.host + route.prefix, at).second)
+            mistakes.push_back(where + "another route has the host " + route.host + " and the path_prefix " +
+                               route.prefix);
+    }
+    if (!mistakes.empty()) throw Refusal(std::move(mistakes));
+    return made;
+}
+
+const Route* Playbill::find(std::string_view host, std::string_view path) const {
+    const auto colon = host.find(':');
+    std::string place(host.substr(0, colon));
+    std::transform(place.begin(), place.end(), place.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    const auto length = place.size();
+    path = path.substr(0, path.find_first_of("?#"));
+    place += path;
+    // From the longest prefix that ends in a slash to the shortest: the cost is the path's, not the list's.
+    for (auto slash = place.rfind('/'); slash != place.npos && slash >= length;
+         slash = slash == 0 ? place.npos : place.rfind('/', slash - 1)) {
+        place.resize(slash + 1);
+        if (const auto at = places_.find(place); at != places_.end()) return &routes[at->second];
+    }
+    return nullptr;
+}
+
+const Service* Playbill::service(const std::string& name) const {
+    for (const auto& service : services)
+        if (service.name == name) return &service;
+    return nullptr;
+}
+
+}  // namespace lichenlanding::playbill
--- /dev/null
+++ b/src/promptbook/promptbook.cpp
@@ -0,0 +1,166 @@
+#include "promptbook/promptbook.hpp"
+
+#include <lmdb.h>
+#include <unistd.h>
+
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace lichenlanding::promptbook {
+namespace {
+
+constexpr char format = 1;
+constexpr char cellMark = 'c', noteMark = 'n';
+
+void check(int code, const char* step, const std::string& folder) {
+    if (code != 0)
+        throw DiskError(std::string("promptbook ") + folder + ": " + step + ": " + mdb_strerror(code));
+}
+
+std::uint32_t checksum(std::string_view bytes) {
+    boost::crc_32_type crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+template <typename T>
+void add(std::string& bytes, T number) {
+    bytes.append(reinterpret_cast<const char*>(&number), sizeof number);
+}
+
+template <typename T>
+T cut(std::string_view& bytes) {
+    T number{};
+    if (bytes.size() < sizeof number) throw DiskError("promptbook: a record is cut short");
+    std::memcpy(&number, bytes.data(), sizeof number);
+    bytes.remove_prefix(sizeof number);
+    return number;
+}
+
+std::string sealed(std::string bytes) {
+    bytes.insert(bytes.begin(), format);
+    add(bytes, checksum(bytes));
+    return bytes;
+}
+
+std::string_view opened(std::string_view bytes, const std::string& key) {
+    if (bytes.size() < 5 || bytes.front() != format)
+        throw DiskError("promptbook: record " + key + " is of another format");
+    auto sum = bytes.substr(bytes.size() - 4);
+    bytes.remove_suffix(4);
+    if (cut<std::uint32_t>(sum) != checksum(bytes))
+        throw DiskError("promptbook: record " + key + " fails its checksum");
+    return bytes.substr(1);
+}
+
+std::string bytesOf(const reg::Cell& cell) {
+    std::string bytes;
+    for (const auto& ballot : {cell.promised, cell.accepted})
+        add(bytes, ballot.round), add(bytes, ballot.writer);
+    return bytes + cell.value;
+}
+
+reg::Cell cellOf(std::string_view bytes) {
+    reg::Cell cell;
+    for (auto* ballot : {&cell.promised, &cell.accepted})
+        ballot->round = cut<std::uint64_t>(bytes), ballot->writer = cut<std::uint32_t>(bytes);
+    cell.value = bytes;
+    return cell;
+}
+
+}  // namespace
+
+struct Promptbook::Parts {
+    std::string folder;
+    MDB_env* env = nullptr;
+    MDB_dbi dbi = 0;
+
+    // One transaction, ended whichever way the scope is left.
+    struct Deed {
+        MDB_txn* txn = nullptr;
+        Deed(const Parts& parts, unsigned flags) {
+            check(mdb_txn_begin(parts.env, nullptr, flags, &txn), "begin", parts.folder);
+        }
+        ~Deed() {
+            if (txn) mdb_txn_abort(txn);
+        }
+        int commit() { return mdb_txn_commit(std::exchange(txn, nullptr)); }
+    };
+
+    explicit Parts(const std::string& folder_, std::size_t bytes) : folder(folder_) {
+        check(mdb_env_create(&env), "create", folder);
+        mdb_env_set_mapsize(env, bytes);
+        // No lock file: one process has the disk, and locks do nothing there.
+        const int code = mdb_env_open(env, folder.c_str(), MDB_NOLOCK | MDB_NOTLS, 0644);
+        if (code != 0) mdb_env_close(std::exchange(env, nullptr));
+        check(code, "open", folder);
+        try {
+            Deed deed(*this, 0);
+            check(mdb_dbi_open(deed.txn, nullptr, 0, &dbi), "open table", folder);
+            check(deed.commit(), "commit", folder);
+        } catch (...) {
+            mdb_env_close(std::exchange(env, nullptr));
+            throw;
+        }
+    }
+    ~Parts() {
+        if (env) mdb_env_close(env);
+    }
+
+    void put(MDB_txn* txn, char mark, const std::string& name, const std::string& bytes) const {
+        auto key = mark + name, record = sealed(bytes);
+        MDB_val at{key.size(), key.data()}, what{record.size(), record.data()};
+        check(mdb_put(txn, dbi, &at, &what, 0), "put", folder);
+    }
+
+    template <typename Take>
+    void each(char mark, Take take) const {
+        Deed deed(*this, MDB_RDONLY);
+        MDB_cursor* cursor = nullptr;
+        check(mdb_cursor_open(deed.txn, dbi, &cursor), "cursor", folder);
+        const std::unique_ptr<MDB_cursor, decltype(&mdb_cursor_close)> owned(cursor, &mdb_cursor_close);
+        MDB_val at, what;
+        int code = 0;
+        while ((code = mdb_cursor_get(cursor, &at, &what, MDB_NEXT)) == 0) {
+            const std::string key(static_cast<const char*>(at.mv_data), at.mv_size);
+            if (key.empty() || key[0] != mark) continue;
+            take(key.substr(1), opened({static_cast<const char*>(what.mv_data), what.mv_size}, key));
+        }
+        if (code != MDB_NOTFOUND) check(code, "read", folder);
+    }
+};
+
+Promptbook::Promptbook(const std::string& folder, std::size_t bytes)
+    : parts_(std::make_unique<Parts>(folder, bytes)) {}
+Promptbook::~Promptbook() = default;
+
+std::map<std::string, reg::Cell> Promptbook::cells() const {
+    std::map<std::string, reg::Cell> all;
+    parts_->each(cellMark, [&](const std::string& key, std::string_view bytes) { all[key] = cellOf(bytes); });
+    return all;
+}
+
+std::string Promptbook::note(const std::string& name) const {
+    std::string text;
+    parts_->each(noteMark, [&](const std::string& key, std::string_view bytes) {
+        if (key == name) text = bytes;
+    });
+    return text;
+}
+
+void Promptbook::write(const std::map<std::string, reg::Cell>& cells,
+                       const std::map<std::string, std::string>& notes) {
+    Parts::Deed deed(*parts_, 0);
+    for (const auto& [key, cell] : cells) parts_->put(deed.txn, cellMark, key, bytesOf(cell));
+    for (const auto& [key, text] : notes) parts_->put(deed.txn, noteMark, key, text);
+    check(deed.commit(), "commit", parts_->folder);
+    // LMDB writes its last page through a descriptor that is opened for synchronous writing. Where that means
+    // nothing, only a sync of the file makes the commit last.
+    mdb_filehandle_t file;
+    check(mdb_env_get_fd(parts_->env, &file), "file", parts_->folder);
+    if (fdatasync(file) != 0) check(errno, "sync", parts_->folder);
+}
+
+}  // namespace lichenlanding::promptbook
--- /dev/null
+++ b/src/promptbook/promptbook.hpp
@@ -0,0 +1,38 @@
+// The prompter's disk: cells of the register by key, in LMDB. A call returns when what it wrote is synced.
+//
+// Each record carries its format's number and a checksum (CRC-32), since LMDB keeps none. A book that cannot
+// be read is told as damaged; its owner then starts blank and rejoins, it never guesses.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "register/register.hpp"
+
+namespace lichenlanding::promptbook {
+
+// Errors carry the step at which they arose and the file.
+struct DiskError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+class Promptbook {
+  public:
+    // Opens or makes the book in `folder`, which may grow to `bytes`. Throws DiskError.
+    Promptbook(const std::string& folder, std::size_t bytes);
+    ~Promptbook();
+
+    std::map<std::string, reg::Cell> cells() const;   // throws DiskError where a record is damaged
+    std::string note(const std::string& name) const;  // "" if there is none
+    // All of it, or on a throw nothing that counts.
+    void write(const std::map<std::string, reg::Cell>& cells,
+               const std::map<std::string, std::string>& notes);
+
+  private:
+    struct Parts;
+    std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace lichenlanding::promptbook
--- /dev/null
+++ b/src/prompter/keeper.hpp
@@ -0,0 +1,96 @@
+// The prompter's part in the register: its own copy on disk, runs at keys over the members' links, rejoining
+// after a lost disk. The rules are src/register's; here are the disk's thread, messages and time.
+#pragma once
+
+#include <boost/asio/thread_pool.hpp>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "playbill/boot.hpp"
+#include "promptbook/promptbook.hpp"
+#include "register/register.hpp"
+#include "wings/link.hpp"
+
+namespace lichenlanding::prompter {
+
+using wings::Json;
+using wings::Link;
+using wings::Task;
+
+inline const std::string configurationKey = "configuration", rolloutsKey = "rollouts";
+
+class Keeper {
+  public:
+    struct Known {
+        reg::Ballot ballot;
+        std::string value;
+    };
+
+    // `learnt` is called with each newer value that is surely in force.
+    Keeper(wings::asio::io_context& io, const playbill::Boot& boot,
+           std::function<void(const std::string&)> learnt);
+    ~Keeper();
+
+    void open();  // the disk, and what is on it
+    // Messages of members ("reg", "reply", "learn", "known", "dump"); true where it was one of them.
+    bool heard(Link& link, const Json& message);
+    // A link to a member is open; `to` is its address. Replies come back on it.
+    void joined(const std::string& to, std::shared_ptr<Link> link);
+    void parted(const std::string& to);
+    Json greeting() const;  // what others need to find all members
+    void greeted(const Json& hello);
+
+    // Null where no majority could be had in time.
+    Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within);
+    Task<std::optional<std::string>> read(std::string key, Nanos within);
+
+    const Known& known(const std::string& key) const;
+    bool formed() const { return members_.size() == size_; }
+    bool blank() const { return copy_.blank(); }
+    const std::set<std::string>& members() const { return members_; }  // addresses
+    std::size_t reached() const { return links_.size(); }
+    // Runs at keys whose value another's word or an accepted cell says is newer; once the disk is open.
+    Task<> tend();
+
+  private:
+    struct Pending;
+    struct Errand {
+        reg::Request request;
+        std::function<void(const reg::Reply&)> reply;
+        std::map<std::string, reg::Cell> cells;  // to be put as they are (rejoining)
+        std::map<std::string, std::string> notes;
+        std::function<void()> after;
+    };
+    void enqueue(Errand errand);
+    Task<> work();
+    Task<bool> write(std::map<std::string, reg::Cell> cells, std::map<std::string, std::string> notes);
+    void learn(const std::string& key, const reg::Ballot& ballot, const std::string& value);
+    void form();
+    void rejoin();
+    std::uint32_t number(const std::string& address) const;
+
+    wings::asio::io_context& io_;
+    const playbill::Boot& boot_;
+    std::function<void(const std::string&)> learnt_;
+    std::size_t size_;
+    std::string me_;
+    reg::Copy copy_{true};
+    bool open_ = false, fresh_ = false;  // fresh: an empty disk at the system's first start
+    std::unique_ptr<promptbook::Promptbook> book_;
+    wings::asio::thread_pool disk_{1};
+    std::deque<Errand> errands_;
+    bool working_ = false;
+    std::set<std::string> candidates_, members_;
+    std::map<std::string, std::shared_ptr<Link>> links_;  // by member's address, that replies come back on
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
+    std::uint64_t runs_ = 0;
+    std::map<std::string, std::uint64_t> above_;
+    std::map<std::string, Known> known_;
+    std::map<std::string, reg::Ballot> rumoured_;  // told to be in force somewhere
+    std::map<std::string, Nanos> acceptedAt_;      // own cells accepted and not yet learnt
+    std::map<std::string, std::map<std::string, reg::Cell>> dumps_;
+    bool rejoining_ = false;
+};
+
+}  // namespace lichenlanding::prompter
--- /dev/null
+++ b/src/prompter/prompter.cpp
@@ -0,0 +1,554 @@
+#include "prompter/prompter.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "company/company.hpp"
+#include "cues/cues.hpp"
+#include "playbill/playbill.hpp"
+#include "prompter/keeper.hpp"
+#include "text.hpp"
+#include "troupe/troupe.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::prompter {
+namespace {
+
+using namespace wings;
+namespace http = boost::beast::http;
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr std::size_t voters = 3;
+constexpr Nanos answerWithin = 900 * ms;  // callers move on after a second
+constexpr Nanos pollEvery = 500 * ms, pollWithin = 700 * ms, pollPause = 300 * ms;
+constexpr Nanos pollAlone = 1200 * ms;  // a start without links waits so long before it takes a duty
+constexpr Nanos steerEvery = 200 * ms;
+constexpr Nanos voteLife = 1500 * ms;
+constexpr double watchPart = 0.6;  // of an order's term that a version is watched with its share at least
+constexpr std::int64_t moveMillis = 2500;  // with all traffic, before the old pods are let go
+constexpr Nanos tellKnownEvery = 500 * ms;
+constexpr std::uint64_t bodyAtMost = 96 << 20;
+
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+struct Foyer {
+    std::shared_ptr<Link> link;
+    std::string address;
+    std::uint64_t life = 0;
+    std::uint32_t applied = 0;  // configuration acknowledged
+    bool given = false;         // the pods, whole
+};
+
+struct Vote {
+    Verdict verdict = Verdict::none;
+    int stage = 0;
+    Nanos at = 0;
+    Json about;
+};
+
+struct Prompter {
+    explicit Prompter(const playbill::Boot& boot_)
+        : boot(boot_),
+          keeper(io, boot, [this](const std::string& key) { learnt(key); }),
+          control(listen(io, boot.control)),
+          peers(listen(io, boot.internal(boot.ip))) {
+        owner = std::make_shared<Link::Owner>();
+        owner->greet = [this](Link& link) { return greet(link); };
+        owner->heard = [this](Link& link, const Json& message) { heard(link, message); };
+        owner->closed = [this](Link& link) { closed(link); };
+    }
+
+    // ---- Links. ----
+
+    std::string me() const { return boot.internal(boot.ip); }
+
+    Json greet(Link&) {
+        return {{"t", "hello"}, {"kind", "prompter"},           {"name", boot.name},
+                {"at", me()},   {"members", keeper.greeting()}, {"formed", keeper.formed()}};
+    }
+
+    void dial(const std::string& address) {
+        auto& dialer = dialers[address];
+        if (dialer || address == me()) return;
+        dialer = std::make_shared<Dialer>(io, address, owner);
+        dialer->go();
+    }
+
+    void dialSeeds() {
+        for (const auto& seed : boot.seeds) dial(boot.internal(hostOf(seed)));
+    }
+
+    void heard(Link& link, const Json& message) {
+        const auto& kind = message.at("t").get_ref<const std::string&>();
+        if (kind == "hello") {
+            hello(link, message);
+        } else if (keeper.heard(link, message)) {
+        } else if (kind == "want") {
+            const auto& known = keeper.known(configurationKey);
+            if (!known.value.empty())
+                link.send(Json{{"t", "configuration"}, {"body", known.value.substr(8)}});
+        } else if (kind == "ack") {
+            if (const auto at = foyers.find(link.peer); at != foyers.end())
+                message.at("configuration").get_to(at->second.applied);
+        } else if (kind == "vote") {
+            const auto key =
+                message.at("service").get<std::string>() + "\n" + message.at("target").get<std::string>();
+            auto& vote = votes[key][message.at("from").get<std::string>()];
+            vote = {static_cast<Verdict>(message.at("verdict").get<int>()), message.at("stage").get<int>(),
+                    now(), message};
+        }
+    }
+
+    void hello(Link& link, const Json& message) {
+        link.kind = message.at("kind").get<std::string>();
+        const auto at = message.at("at").get<std::string>();
+        if (link.kind == "prompter") {
+            link.peer = at;
+            const auto dialer = dialers.find(at);
+            if (dialer != dialers.end() && dialer->second && dialer->second->link().get() == &link)
+                keeper.joined(at, link.shared_from_this());
+            keeper.greeted(message);
+            for (const auto& member : message.at("members")) dial(member.get<std::string>());
+            return;
+        }
+        link.peer = message.at("name").get<std::string>();
+        foyers[link.peer] = {link.shared_from_this(), at, message.at("life").get<std::uint64_t>(), 0, false};
+        cue(link);
+        tellRollouts(link);
+        givePods(foyers[link.peer]);
+        roster();
+    }
+
+    void closed(Link& link) {
+        if (link.kind == "prompter") {
+            const auto dialer = dialers.find(link.peer);
+            if (dialer != dialers.end() && dialer->second && !dialer->second->link())
+                keeper.parted(link.peer);
+        } else if (const auto at = foyers.find(link.peer);
+                   at != foyers.end() && at->second.link.get() == &link) {
+            foyers.erase(at);
+            roster();
+        }
+    }
+
+    // ---- Cues. ----
+
+    void cue(Link& link) {
+        const auto& known = keeper.known(configurationKey);
+        if (!known.value.empty()) link.send(Json{{"t", "cue"}, {"configuration", versionOf(known.value)}});
+    }
+
+    // A register's value is the version's eight digits and the body as it was sent.
+    static std::uint32_t versionOf(const std::string& value) {
+        std::uint32_t version = 0;
+        std::from_chars(value.data(), value.data() + std::min<std::size_t>(value.size(), 8), version, 16);
+        return version;
+    }
+
+    void tellRollouts(Link& link) {
+        if (!startedReading) return;
+        link.send(rolloutsMessage());
+    }
+
+    Json rolloutsMessage() const {
+        const auto& text = keeper.known(rolloutsKey).value;
+        std::int64_t number = 0;
+        for (const auto& rollout : cues::readRollouts(text)) number = std::max(number, rollout.number);
+        return {{"t", "rollouts"}, {"number", number}, {"list", text}};
+    }
+
+    void roster() {
+        Json names = Json::object();
+        for (const auto& [name, foyer] : foyers) names[name] = foyer.address;
+        const auto packed = Link::pack(Json{{"t", "roster"}, {"foyers", std::move(names)}});
+        for (const auto& [_, foyer] : foyers) foyer.link->send(packed);
+    }
+
+    void learnt(const std::string& key) {
+        if (key == configurationKey) {
+            for (const auto& [_, foyer] : foyers) cue(*foyer.link);
+        } else {
+            const auto packed = Link::pack(rolloutsMessage());
+            if (startedReading)
+                for (const auto& [_, foyer] : foyers) foyer.link->send(packed);
+        }
+    }
+
+    // Before rollouts have been read from a majority nothing is said of them.
+    Task<> readFirst() {
+        for (;;) {
+            const auto value = co_await keeper.read(rolloutsKey, second);
+            if (value) break;
+        }
+        startedReading = true;
+        for (const auto& [_, foyer] : foyers) tellRollouts(*foyer.link);
+    }
+
+    Task<> tellKnown() {
+        for (;;) {
+            co_await sleep(tellKnownEvery);
+            Json ballots = Json::object();
+            for (const auto& key : {configurationKey, rolloutsKey})
+                if (const auto& known = keeper.known(key); known.ballot.round > 0)
+                    ballots[key] = cues::write(known.ballot);
+            const auto packed = Link::pack(Json{{"t", "known"}, {"ballots", std::move(ballots)}});
+            for (const auto& [address, dialer] : dialers)
+                if (dialer)
+                    if (auto link = dialer->link()) link->send(packed);
+        }
+    }
+
+    // ---- The platform's list, by one prompter. ----
+
+    std::vector<std::string> alive() const {
+        std::vector<std::string> all{me()};
+        for (const auto& [address, dialer] : dialers)
+            if (dialer && dialer->link() && keeper.members().contains(address)) all.push_back(address);
+        return all;
+    }
+
+    bool onDuty(const char* duty) const {
+        const auto all = alive();
+        if (all.size() == 1 && boot.machinesLost > 0 && now() - began < pollAlone) return false;
+        return company::chosen(all, duty, 1).front() == me();
+    }
+
+    Task<> poll() {
+        auto stream = std::make_shared<beast::tcp_stream>(io);
+        beast::flat_buffer buffer;
+        bool connected = false;
+        for (;;) {
+            if (!onDuty("list")) {
+                co_await sleep(pollPause / 3);
+                continue;
+            }
+            const Nanos started = now();
+            std::vector<troupe::Member> members;
+            std::string token;
+            bool whole = false;
+            try {
+                for (int page = 0; page < 1000; ++page) {
+                    stream->expires_after(span(pollWithin));
+                    if (!connected) {
+                        co_await stream->async_connect(endpoint(boot.list), asio::use_awaitable);
+                        tune(stream->socket(), 2 * second);
+                        connected = true, buffer.clear();
+                    }
+                    http::request<http::empty_body> request(
+                        http::verb::get, token.empty() ? "/instances" : "/instances?page_token=" + token, 11);
+                    request.set(http::field::host, boot.list);
+                    co_await http::async_write(*stream, request, asio::use_awaitable);
+                    http::response_parser<http::string_body> parser;
+                    parser.body_limit(bodyAtMost);
+                    co_await http::async_read(*stream, buffer, parser, asio::use_awaitable);
+                    const auto& response = parser.get();
+                    if (!response.keep_alive()) connected = false, stream->close();
+                    if (response.result_int() != 200) {
+                        log("list_refused",
+                            {{"step", "list"}, {"peer", boot.list}, {"status", response.result_int()}});
+                        break;
+                    }
+                    const auto body = Json::parse(response.body());
+                    for (const auto& entry : body.at("instance_list")) members.push_back(cues::listed(entry));
+                    const auto next = body.find("next_token");
+                    whole = next == body.end() || next->is_null();
+                    if (whole) break;
+                    token = next->get<std::string>();
+                }
+            } catch (const std::exception& error) {
+                log("list_failed", {{"step", "list"}, {"peer", boot.list}, {"error", error.what()}});
+                stream->close();
+                stream = std::make_shared<beast::tcp_stream>(io);
+                connected = false, whole = false;
+            }
+            if (whole) took(members);
+            co_await sleep(std::max(started + (whole ? pollEvery : pollPause) - now(), 20 * ms));
+        }
+    }
+
+    void took(const std::vector<troupe::Member>& members) {
+        const auto events = troupe.towards(members, listNumber);
+        Json set = Json::array(), gone = Json::array();
+        for (const auto& event : events) {
+            listNumber = event.number;
+            troupe.apply(event);
+            if (event.gone) gone.push_back(event.member.id);
+            else set.push_back(cues::write(event.member));
+        }
+        listed = true;
+        if (!events.empty()) {
+            const auto packed = Link::pack(
+                Json{{"t", "pods"}, {"whole", false}, {"number", listNumber}, {"set", set}, {"gone", gone}});
+            for (auto& [_, foyer] : foyers)
+                if (foyer.given) foyer.link->send(packed);
+        }
+        for (auto& [_, foyer] : foyers) givePods(foyer);
+    }
+
+    void givePods(Foyer& foyer) {
+        if (foyer.given || !listed || !onDuty("list")) return;
+        foyer.given = true;
+        Json set = Json::array();
+        for (const auto& [_, member] : troupe.members()) set.push_back(cues::write(member));
+        foyer.link->send(Json{
+            {"t", "pods"}, {"whole", true}, {"number", listNumber}, {"set", set}, {"gone", Json::array()}});
+    }
+
+    // ---- Rollouts: votes counted, stages kept. ----
+
+    Task<> steer() {
+        for (;;) {
+            co_await sleep(steerEvery);
+            if (!startedReading || !onDuty("rollouts")) continue;
+            for (const auto& rollout : cues::readRollouts(keeper.known(rolloutsKey).value))
+                if (rollout.running()) co_await steer(rollout);
+        }
+    }
+
+    Task<> steer(cues::Rollout rollout) {
+        const auto key = rollout.service + "\n" + rollout.target;
+        std::vector<std::string> names;
+        for (const auto& [name, _] : foyers) names.push_back(name);
+        const auto chosen = company::chosen(names, key, voters);
+        std::size_t on = 0, back = 0;
+        Json said = Json::array();
+        for (const auto& voter : chosen) {
+            const auto at = votes[key].find(voter);
+            if (at == votes[key].end() || now() - at->second.at > voteLife) continue;
+            on += at->second.verdict == Verdict::on && at->second.stage == rollout.stage;
+            back += at->second.verdict == Verdict::back;
+            said.push_back(at->second.about);
+        }
+        const auto majority = chosen.size() / 2 + 1;
+        const auto elapsed = wallMillis() - rollout.began;
+        auto to = rollout;
+        const char* why = nullptr;
+        if (!chosen.empty() && back >= majority) to.state = "rolled_back", why = "voters";
+        else if (rollout.stage == 0 && !chosen.empty() && on >= majority &&
+                 static_cast<double>(elapsed) >= watchPart * static_cast<double>(rollout.term))
+            to.stage = 1, to.moved = wallMillis(), why = "voters";
+        else if (rollout.stage == 1 && wallMillis() - rollout.moved >= moveMillis)
+            to.state = "completed", why = "all traffic held";
+        else if (rollout.stage == 0 && elapsed >= rollout.term)
+            to.state = "rolled_back", why = "undecided at its term";
+        if (!why) co_return;
+        log("rollout", {{"service", to.service},
+                        {"target", to.target},
+                        {"state", to.state},
+                        {"stage", to.stage},
+                        {"why", why},
+                        {"elapsed_ms", elapsed},
+                        {"votes", said}});
+        co_await keeper.change(
+            rolloutsKey,
+            [rollout, to](const std::string& value) {
+                auto all = cues::readRollouts(value);
+                std::int64_t number = 0;
+                for (const auto& one : all) number = std::max(number, one.number);
+                bool changed = false;
+                for (auto& one : all) {
+                    // What is decided stays decided, whoever else steers.
+                    if (one.service != to.service || one.target != to.target || !one.running() ||
+                        one.stage != rollout.stage)
+                        continue;
+                    one = to, one.number = number + 1, changed = true;
+                }
+                return changed ? cues::write(all) : value;
+            },
+            answerWithin);
+    }
+
+    // ---- The operator's calls. ----
+
+    static Response respond(int status, std::string body, Nanos retryAfter = 0) {
+        Response response(static_cast<http::status>(status), 11);
+        response.set(http::field::content_type, "application/json");
+        if (retryAfter > 0)
+            response.set(http::field::retry_after, std::to_string(static_cast<double>(retryAfter) / 1e9));
+        response.body() = std::move(body);
+        return response;
+    }
+    static Response wrong(int status, const std::string& what) {
+        return respond(status, Json{{"error", what}}.dump(-1, ' ', false, Json::error_handler_t::replace));
+    }
+    static Response later(const char* what) {
+        auto response = wrong(503, what);
+        response.set(http::field::retry_after, "0.2");
+        return response;
+    }
+
+    Task<Response> answer(const Request& request) {
+        const auto target = view(request.target());
+        const auto question = target.find('?');
+        if (target.substr(0, question) != "/api/rpc") co_return wrong(404, "path: only /api/rpc");
+        if (request.method() != http::verb::post) co_return wrong(405, "method: must be POST");
+        std::string call, of;
+        if (question != target.npos)
+            for (const auto part : split(target.substr(question + 1), '&')) {
+                if (part.starts_with("call=")) call = part.substr(5);
+                if (part.starts_with("of=")) of = part.substr(3);
+            }
+        if (call == "config.replace") co_return co_await replace(request.body());
+        if (call == "config.read") {
+            const auto value = co_await keeper.read(configurationKey, answerWithin);
+            if (!value) co_return later("register: no majority");
+            if (value->empty()) co_return later("no configuration yet");
+            co_return respond(200, value->substr(8));
+        }
+        if (call == "rollouts.begin") co_return co_await begin(request.body());
+        if (call == "rollouts.read") {
+            const auto value = co_await keeper.read(rolloutsKey, answerWithin);
+            if (!value) co_return later("register: no majority");
+            std::optional<cues::Rollout> newest;
+            for (auto& rollout : cues::readRollouts(*value))
+                if (rollout.service == of && (!newest || rollout.began >= newest->began)) newest = rollout;
+            if (!newest) co_return wrong(404, "of: no rollout of " + of);
+            co_return respond(200, Json{{"state", newest->state}, {"target_version", newest->target}}.dump());
+        }
+        co_return wrong(404, "call: no such call: " + call);
+    }
+
+    Task<Response> replace(const std::string& body) {
+        std::string value;
+        try {
+            value = playbill::versionText(playbill::Playbill::read(body).version) + body;
+        } catch (const playbill::Refusal& refusal) {
+            log("configuration_refused", {{"error", refusal.what()}});
+            co_return respond(
+                400, Json{{"errors", refusal.mistakes}}.dump(-1, ' ', false, Json::error_handler_t::replace));
+        }
+        const auto version = versionOf(value);
+        const auto held = co_await keeper.change(
+            configurationKey,
+            [&](const std::string& now_) { return now_.empty() || versionOf(now_) < version ? value : now_; },
+            answerWithin);
+        if (!held) co_return later("register: no majority has synced it");
+        log("configuration", {{"version", playbill::versionText(version)}, {"held", held->substr(0, 8)}});
+        co_return respond(200, Json{{"config_version", held->substr(0, 8)}}.dump());
+    }
+
+    Task<Response> begin(const std::string& body) {
+        const auto told = Json::parse(body, nullptr, false);
+        cues::Rollout order;
+        try {
+            told.at("service_name").get_to(order.service);
+            told.at("target_version").get_to(order.target);
+            order.term = playbill::span(told.at("deadline").get<std::string>()) / ms;
+        } catch (const std::exception&) {
+            co_return wrong(400, "must hold service_name, target_version and deadline (\"12s\")");
+        }
+        order.began = wallMillis();
+        const auto held = co_await keeper.change(
+            rolloutsKey,
+            [&](const std::string& value) {
+                auto all = cues::readRollouts(value);
+                std::int64_t number = 0;
+                for (const auto& one : all) {
+                    number = std::max(number, one.number);
+                    if (one.service == order.service && one.target == order.target)
+                        return value;  // sent again
+                }
+                auto added = order;
+                added.number = number + 1;
+                all.push_back(added);
+                return cues::write(all);
+            },
+            answerWithin);
+        if (!held) co_return later("register: no majority has synced it");
+        log("rollout", {{"service", order.service},
+                        {"target", order.target},
+                        {"state", "in_progress"},
+                        {"term_ms", order.term}});
+        co_return respond(200, "{}");
+    }
+
+    Task<> caller(tcp::socket socket) {
+        beast::flat_buffer buffer;
+        for (;;) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(bodyAtMost);
+            parser.header_limit(64 << 10);
+            Code code;
+            co_await http::async_read(socket, buffer, parser, told(code));
+            if (code) {
+                if (code == http::error::body_limit || code == http::error::header_limit ||
+                    code == http::error::bad_method) {
+                    auto response = wrong(code == http::error::body_limit ? 413 : 400, code.message());
+                    response.keep_alive(false), response.prepare_payload();
+                    co_await http::async_write(socket, response, told(code));
+                }
+                co_return;
+            }
+            const auto request = parser.release();
+            auto response = co_await answer(request);
+            response.keep_alive(request.keep_alive());
+            response.prepare_payload();
+            co_await http::async_write(socket, response, told(code));
+            if (code || !response.keep_alive()) co_return;
+        }
+    }
+
+    Task<> serveControl() {
+        while (control.is_open()) {
+            Code code;
+            auto socket = co_await control.async_accept(told(code));
+            if (code == asio::error::operation_aborted) co_return;
+            if (!code) start(io, "caller", caller(std::move(socket)));
+        }
+    }
+
+    void run() {
+        signals(
+            io,
+            [this] {
+                log("left", {});
+                io.stop();
+            },
+            [this] {
+                try {
+                    boot = playbill::Boot::fromEnvironment();
+                    dialSeeds();
+                    log("settings_read", {});
+                } catch (const std::exception& wrong_) {
+                    log("settings_refused", {{"step", "reload"}, {"error", wrong_.what()}});
+                }
+            });
+        log("start", {});
+        keeper.open();
+        dialSeeds();
+        for (const auto& member : keeper.members()) dial(member);
+        start(io, "links", serveLinks(io, peers, owner));
+        start(io, "control", serveControl());
+        start(io, "register", keeper.tend());
+        start(io, "register", readFirst());
+        start(io, "known", tellKnown());
+        start(io, "list", poll());
+        start(io, "rollouts", steer());
+        io.run();
+    }
+
+    playbill::Boot boot;
+    asio::io_context io{1};
+    Keeper keeper;
+    tcp::acceptor control, peers;
+    std::shared_ptr<Link::Owner> owner;
+    std::map<std::string, std::shared_ptr<Dialer>> dialers;    // by address
+    std::map<std::string, Foyer> foyers;                       // by name
+    std::map<std::string, std::map<std::string, Vote>> votes;  // by rollout and voter
+    troupe::Troupe troupe;
+    std::uint64_t listNumber = 0;
+    const Nanos began = now();
+    bool listed = false, startedReading = false;
+};
+
+}  // namespace
+
+void run(const playbill::Boot& boot) {
+    openLog(boot.name);
+    Prompter(boot).run();
+}
+
+}  // namespace lichenlanding::prompter
--- /dev/null
+++ b/src/prompter/prompter.hpp
@@ -0,0 +1,12 @@
+// The prompter: the gateway's program on machines with a disk. It keeps the register's copy, follows the
+// platform's list, answers the operator and cues the foyers.
+#pragma once
+
+#include "playbill/boot.hpp"
+
+namespace lichenlanding::prompter {
+
+// Serves until SIGTERM. Throws on settings or addresses that cannot be used.
+void run(const playbill::Boot& boot);
+
+}  // namespace lichenlanding::prompter
--- /dev/null
+++ b/src/troupe/troupe.hpp
@@ -0,0 +1,47 @@
+// The pods: what the platform's list says of them, as numbered events and the view folded from them.
+//
+// Pure. A pod (one life, by its instance id) only ever goes from ready to draining to gone: an older list, or
+// one by another way, brings nobody back.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "state.hpp"
+
+namespace lichenlanding::troupe {
+
+struct Member {
+    std::string id, service, address, zone, version;
+    int slots = 1;
+    bool draining = false;
+    Nanos warmup = 0;  // how much longer it is slow, from when it was listed
+    bool operator==(const Member& other) const {
+        return id == other.id && address == other.address && draining == other.draining;
+    }
+};
+
+struct Event {
+    std::uint64_t number = 0;
+    Member member;
+    bool gone = false;  // then only the id counts
+};
+
+class Troupe {
+  public:
+    // True where the view has changed.
+    bool apply(const Event& event);
+    const std::map<std::string, Member>& members() const { return members_; }
+
+    // The events that bring this view to what a whole list says, numbered from `after` + 1.
+    std::vector<Event> towards(const std::vector<Member>& listed, std::uint64_t after) const;
+
+  private:
+    std::map<std::string, Member> members_;
+    std::set<std::string> left_;  // seen gone; ids are never used again
+};
+
+}  // namespace lichenlanding::troupe
--- /dev/null
+++ b/src/verdict/rollout.cpp
@@ -0,0 +1,86 @@
+#include "verdict/rollout.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace lichenlanding::verdict {
+namespace {
+
+constexpr double leastOutcomes = 20;  // of each side, for ranks
+constexpr double leastFailing = 6;    // of the new side, where failures alone speak
+constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
+constexpr double failMargin = 0.08;  // failures that a version may have more than the earlier one
+constexpr double lateMargin = 0.25;  // answers far too late, likewise
+constexpr int draws = 200;
+constexpr int lastBin = rolloutBins - 1;
+
+Bins binsOf(const Counts& counts) { return {counts.bins.begin(), counts.bins.end()}; }
+
+void add(Counts& into, const Counts& more) {
+    for (int bin = 0; bin < rolloutBins; ++bin) into.bins[bin] += more.bins[bin];
+    into.bad += more.bad;
+}
+
+// Exception to ranks: failures of a part of the requests move few ranks, so the same test is made on ranks
+// coarsened to two as well.
+bool worse(const Counts& fresh, const Counts& earlier, std::mt19937& chance) {
+    const double n = fresh.all(), m = earlier.all();
+    const auto more = [&](double x, double y, double margin, double least) {
+        return n >= least && m >= leastOutcomes && x >= 3 &&
+               rankTest(inTwo(x, n), inTwo(y, m), 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
+    };
+    return more(fresh.bad, earlier.bad, failMargin, leastFailing) ||
+           more(fresh.bins[lastBin], earlier.bins[lastBin], lateMargin, leastFailing) ||
+           (n >= leastOutcomes && m >= leastOutcomes &&
+            rankTest(binsOf(fresh), binsOf(earlier), backBar, draws, chance).upperChance < 1 - sure);
+}
+
+}  // namespace
+
+int binOf(Nanos took, Nanos target) {
+    // Steps of a square root of two up to 2.8 targets: what is slow eight times over ends in the last bin.
+    const double part = static_cast<double>(std::max<Nanos>(took, 1)) / static_cast<double>(target);
+    const int bin = static_cast<int>(std::ceil(2 * std::log2(part))) + lastBin - 4;
+    return std::clamp(bin, 0, lastBin);
+}
+
+void Counts::count(Nanos took, Nanos target, bool failed) {
+    ++bins[static_cast<std::size_t>(failed ? lastBin : binOf(took, target))];
+    if (failed) ++bad;
+}
+
+std::uint32_t Counts::all() const { return std::accumulate(bins.begin(), bins.end(), 0u); }
+
+void Pool::take(const std::string& sender, std::uint64_t life, std::uint64_t number, Totals totals) {
+    auto& from = senders_[{sender, life}];
+    if (number <= from.number) return;
+    from = {number, std::move(totals)};
+}
+
+Totals Pool::sum() const {
+    Totals all;
+    for (const auto& [_, sender] : senders_)
+        for (const auto& [route, sides] : sender.totals)
+            for (std::size_t side = 0; side < 2; ++side) add(all[route][side], sides[side]);
+    return all;
+}
+
+Judgement judge(const Totals& sums, std::mt19937& chance) {
+    Judgement judged;
+    std::array<Counts, 2> all;
+    bool back = false;
+    for (const auto& [route, sides] : sums) {
+        for (std::size_t side = 0; side < 2; ++side) add(all[side], sides[side]);
+        back = back || worse(sides[0], sides[1], chance);
+    }
+    judged.fresh = all[0].all(), judged.earlier = all[1].all(), judged.bad = all[0].bad;
+    if (judged.fresh > 0 && judged.earlier > 0)
+        judged.bounds = rankTest(binsOf(all[0]), binsOf(all[1]), onBar, draws, chance);
+    if (back || worse(all[0], all[1], chance)) judged.verdict = Verdict::back;
+    else if (judged.fresh >= leastOutcomes && judged.earlier >= leastOutcomes)
+        judged.verdict = judged.bounds.lowerChance > sure ? Verdict::on : Verdict::hold;
+    return judged;
+}
+
+}  // namespace lichenlanding::verdict
--- /dev/null
+++ b/src/verdict/rollout.hpp
@@ -0,0 +1,58 @@
+// How the gateway's foyers judge a new version of a service: each counts outcomes into a latency histogram
+// for each side and route, sends running totals to the voters, and a voter judges the sums of all.
+//
+// Pure: times and chance come in as arguments. Ranks and bounds are those of verdict/rank.hpp.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "state.hpp"
+#include "verdict/rank.hpp"
+
+namespace lichenlanding::verdict {
+
+constexpr int rolloutBins = 12;  // the last one: later than the target latency by far, errors, time-outs
+
+// The bin for an answer that took `took`, on a route of target latency `target` (> 0).
+int binOf(Nanos took, Nanos target);
+
+struct Counts {
+    std::array<std::uint32_t, rolloutBins> bins{};
+    std::uint32_t bad = 0;  // of those in the last bin: errors and time-outs
+
+    void count(Nanos took, Nanos target, bool failed);
+    std::uint32_t all() const;
+};
+
+// Of one rollout: by route, the new side and the earlier one.
+using Totals = std::map<std::string, std::array<Counts, 2>>;
+
+// What a voter holds of one rollout. Totals of a sender replace its earlier ones, so a message that comes
+// twice, late or not at all counts nothing twice.
+class Pool {
+  public:
+    // `life` is drawn at each start of the sender; a sender of a new life keeps what its earlier one counted.
+    void take(const std::string& sender, std::uint64_t life, std::uint64_t number, Totals totals);
+    Totals sum() const;
+
+  private:
+    struct Sender {
+        std::uint64_t number = 0;
+        Totals totals;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, Sender> senders_;
+};
+
+struct Judgement {
+    Verdict verdict = Verdict::none;
+    RankBounds bounds;                              // of all routes together
+    std::uint32_t fresh = 0, earlier = 0, bad = 0;  // outcomes of the new side, the earlier one; bad new ones
+};
+
+// 'on' from the lower bound, 'back' from the upper one, 'hold' while neither; none below the least outcomes.
+Judgement judge(const Totals& sums, std::mt19937& chance);
+
+}  // namespace lichenlanding::verdict
--- /dev/null
+++ b/src/wings/link.cpp
@@ -0,0 +1,169 @@
+#include "wings/link.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/websocket.hpp>
+
+#include "wings/log.hpp"
+
+namespace lichenlanding::wings {
+namespace {
+
+constexpr Nanos beatEvery = 600 * ms;
+constexpr Nanos silentAfter = 2100 * ms;  // three beats
+constexpr Nanos dialWithin = 900 * ms, pauseAtMost = 800 * ms;
+constexpr std::size_t messageAtMost = 80 << 20;
+const std::string beatBytes = "\xf6";  // CBOR null
+
+}  // namespace
+
+struct Link::Stream {
+    beast::websocket::stream<beast::tcp_stream> ws;
+    explicit Stream(tcp::socket&& socket) : ws(std::move(socket)) {
+        ws.binary(true);
+        ws.read_message_max(messageAtMost);
+        ws.auto_fragment(false);
+        tune(beast::get_lowest_layer(ws).socket(), silentAfter);
+    }
+};
+
+Link::Link(asio::io_context& io, std::string peer_) : peer(std::move(peer_)), io_(io) {}
+
+std::shared_ptr<const std::string> Link::pack(const Json& message) {
+    std::string bytes;
+    Json::to_cbor(message, bytes);
+    return std::make_shared<const std::string>(std::move(bytes));
+}
+
+void Link::send(const Json& message) { send(pack(message)); }
+
+void Link::send(std::shared_ptr<const std::string> packed) {
+    if (!open_) return;
+    out_.push_back(std::move(packed));
+    if (!writing_) {
+        writing_ = true;
+        start(io_, "link write", write());
+    }
+}
+
+void Link::close() {
+    if (!open_) return;
+    open_ = false;
+    Code ignored;
+    beast::get_lowest_layer(stream_->ws).socket().close(ignored);
+}
+
+Task<> Link::write() {
+    const auto self = shared_from_this();
+    const auto stream = stream_;
+    while (open_ && !out_.empty()) {
+        const auto bytes = out_.front();
+        out_.pop_front();
+        Code code;
+        co_await stream->ws.async_write(asio::buffer(*bytes), told(code));
+        sent_ = now();
+        if (code) close();
+    }
+    writing_ = false;
+}
+
+Task<> Link::beat() {
+    const auto self = shared_from_this();
+    static const auto bytes = std::make_shared<const std::string>(beatBytes);
+    while (open_) {
+        co_await sleep(beatEvery);
+        if (now() - heard_ > silentAfter) {
+            if (open_) log("link_silent", {{"peer", peer}, {"step", "beat"}});
+            close();
+        } else if (now() - sent_ > beatEvery / 2) {
+            send(bytes);
+        }
+    }
+}
+
+Task<> Link::run(std::shared_ptr<Owner> owner) {
+    const auto self = shared_from_this();
+    const auto stream = stream_;
+    open_ = true, heard_ = sent_ = now();
+    start(io_, "link beat", beat());
+    if (const auto first = owner->greet(*this); !first.is_null()) send(first);
+    beast::flat_buffer buffer;
+    while (open_) {
+        Code code;
+        co_await stream->ws.async_read(buffer, told(code));
+        if (code) break;
+        heard_ = now();
+        const auto* bytes = static_cast<const std::uint8_t*>(buffer.data().data());
+        const auto message = Json::from_cbor(bytes, bytes + buffer.size(), true, false);
+        buffer.consume(buffer.size());
+        if (message.is_discarded()) {
+            log("link_spoilt", {{"peer", peer}, {"step", "read"}});
+            break;
+        }
+        try {
+            if (message.is_object()) owner->heard(*this, message);
+        } catch (const Json::exception& wrong) {
+            log("link_spoilt", {{"peer", peer}, {"step", "message"}, {"error", wrong.what()}});
+            break;
+        }
+    }
+    close();
+    owner->closed(*this);
+}
+
+Task<> Link::accept(asio::io_context& io, tcp::socket socket, std::shared_ptr<Owner> owner) {
+    auto link = std::make_shared<Link>(io, "unnamed");
+    link->stream_ = std::make_shared<Stream>(std::move(socket));
+    beast::get_lowest_layer(link->stream_->ws).expires_after(span(dialWithin));
+    Code code;
+    co_await link->stream_->ws.async_accept(told(code));
+    if (code) co_return;
+    beast::get_lowest_layer(link->stream_->ws).expires_never();
+    co_await link->run(owner);
+}
+
+Task<> serveLinks(asio::io_context& io, tcp::acceptor& acceptor, std::shared_ptr<Link::Owner> owner) {
+    while (acceptor.is_open()) {
+        Code code;
+        auto socket = co_await acceptor.async_accept(told(code));
+        if (code == asio::error::operation_aborted) co_return;
+        if (code) co_await sleep(10 * ms);
+        else start(io, "link", Link::accept(io, std::move(socket), owner));
+    }
+}
+
+Dialer::Dialer(asio::io_context& io, std::string address, std::shared_ptr<Link::Owner> owner)
+    : io_(io), address_(std::move(address)), owner_(std::move(owner)) {}
+
+void Dialer::go() { start(io_, "dial", run()); }
+
+void Dialer::stop() {
+    stopped_ = true;
+    if (link_) link_->close();
+}
+
+Task<> Dialer::run() {
+    const auto self = shared_from_this();
+    const auto at = endpoint(address_);
+    for (Nanos pause = 50 * ms; !stopped_; pause = std::min(pause * 2, pauseAtMost)) {
+        beast::tcp_stream dialled(io_);
+        dialled.expires_after(span(dialWithin));
+        Code code;
+        co_await dialled.async_connect(at, told(code));
+        if (!code) {
+            auto link = std::make_shared<Link>(io_, address_);
+            link->stream_ = std::make_shared<Link::Stream>(dialled.release_socket());
+            auto& ws = link->stream_->ws;
+            beast::get_lowest_layer(ws).expires_after(span(dialWithin));
+            co_await ws.async_handshake(address_, "/", told(code));
+            if (!code && !stopped_) {
+                beast::get_lowest_layer(ws).expires_never();
+                pause = 25 * ms;
+                link_ = link;
+                co_await link->run(owner_);
+            }
+        }
+        if (!stopped_) co_await sleep(pause);
+    }
+}
+
+}  // namespace lichenlanding::wings
--- /dev/null
+++ b/src/wings/link.hpp
@@ -0,0 +1,78 @@
+// A held connection between two sidecars of the gateway: messages (JSON values, carried as CBOR) both ways
+// over one WebSocket of Boost.Beast. It beats by itself and is given up when the other side falls silent:
+// a machine without power or behind a cut says nothing at all.
+#pragma once
+
+#include <any>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "wings/loop.hpp"
+
+namespace lichenlanding::wings {
+
+using Json = nlohmann::json;
+
+class Link : public std::enable_shared_from_this<Link> {
+  public:
+    // What is told of a link. `heard` never gets a beat.
+    struct Owner {
+        std::function<Json(Link&)> greet;               // the first message; may be null
+        std::function<void(Link&, const Json&)> heard;  // each message, in order
+        std::function<void(Link&)> closed;              // once, after opened
+    };
+
+    Link(asio::io_context& io, std::string peer);
+
+    void send(const Json& message);
+    // Serialised once for many links.
+    static std::shared_ptr<const std::string> pack(const Json& message);
+    void send(std::shared_ptr<const std::string> packed);
+    void close();
+    bool open() const { return open_; }
+    std::size_t waiting() const { return out_.size(); }  // messages not yet written
+
+    std::string peer;  // address, or the name it has given
+    std::string kind;  // "foyer", "prompter"; set by the owner
+    std::any data;     // the owner's
+
+  private:
+    friend class Dialer;
+    friend Task<> serveLinks(asio::io_context&, tcp::acceptor&, std::shared_ptr<Link::Owner>);
+    static Task<> accept(asio::io_context& io, tcp::socket socket, std::shared_ptr<Owner> owner);
+    Task<> run(std::shared_ptr<Owner> owner);  // an open WebSocket, to its end
+    Task<> write();
+    Task<> beat();
+
+    asio::io_context& io_;
+    struct Stream;
+    std::shared_ptr<Stream> stream_;
+    std::deque<std::shared_ptr<const std::string>> out_;
+    bool open_ = false, writing_ = false;
+    Nanos heard_ = 0, sent_ = 0;
+};
+
+// Takes links as long as the acceptor is open.
+Task<> serveLinks(asio::io_context& io, tcp::acceptor& acceptor, std::shared_ptr<Link::Owner> owner);
+
+// Keeps one link to an address: dials again after each end, with a pause that grows up to a second.
+class Dialer : public std::enable_shared_from_this<Dialer> {
+  public:
+    Dialer(asio::io_context& io, std::string address, std::shared_ptr<Link::Owner> owner);
+    void go();
+    void stop();
+    const std::string& address() const { return address_; }
+    std::shared_ptr<Link> link() const { return link_ && link_->open() ? link_ : nullptr; }
+
+  private:
+    Task<> run();
+    asio::io_context& io_;
+    std::string address_;
+    std::shared_ptr<Link::Owner> owner_;
+    std::shared_ptr<Link> link_;
+    bool stopped_ = false;
+};
+
+}  // namespace lichenlanding::wings
--- /dev/null
+++ b/src/wings/loop.cpp
@@ -0,0 +1,95 @@
+#include "wings/loop.hpp"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <stdexcept>
+
+#include "text.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::wings {
+
+tcp::endpoint endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    Code code;
+    unsigned short port = 0;
+    if (colon == address.npos || !parse(std::string_view(address).substr(colon + 1), port))
+        throw std::invalid_argument("address: no port in " + address);
+    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
+    if (code) throw std::invalid_argument("address: " + address + ": " + code.message());
+    return {ip, port};
+}
+
+std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+void tune(tcp::socket& socket, Nanos silence) {
+    Code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(UserTimeout(static_cast<int>(silence / ms)), ignored);
+}
+
+tcp::acceptor listen(asio::io_context& io, const std::string& address) {
+    const auto at = endpoint(address);
+    tcp::acceptor acceptor(io);
+    acceptor.open(at.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(at);
+    acceptor.listen(1024);
+    return acceptor;
+}
+
+Task<> sleep(Nanos time) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, span(time));
+    Code code;
+    co_await timer.async_wait(told(code));
+}
+
+void start(asio::io_context& io, const char* step, Task<> task) {
+    asio::co_spawn(io, std::move(task), [step](std::exception_ptr failure) {
+        if (!failure) return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& error) {
+            log("failure", {{"step", step}, {"error", error.what()}});
+        }
+    });
+}
+
+void Bell::ring() {
+    rung_ = true;
+    timer_.cancel();
+}
+
+Task<bool> Bell::wait(Nanos until) {
+    if (!rung_) {
+        timer_.expires_at(point(until));
+        Code code;
+        co_await timer_.async_wait(told(code));
+    }
+    co_return std::exchange(rung_, false);
+}
+
+namespace {
+
+void watch(asio::signal_set& set, std::shared_ptr<std::function<void(int)>> call) {
+    set.async_wait([&set, call](Code code, int number) {
+        if (code) return;
+        (*call)(number);
+        watch(set, call);
+    });
+}
+
+}  // namespace
+
+void signals(asio::io_context& io, std::function<void()> stop, std::function<void()> reload) {
+    std::signal(SIGPIPE, SIG_IGN);
+    static std::unique_ptr<asio::signal_set> set;
+    set = std::make_unique<asio::signal_set>(io, SIGTERM, SIGINT, SIGHUP);
+    watch(*set, std::make_shared<std::function<void(int)>>(
+                    [stop, reload](int number) { number == SIGHUP ? reload() : stop(); }));
+}
+
+}  // namespace lichenlanding::wings
--- /dev/null
+++ b/src/wings/loop.hpp
@@ -0,0 +1,82 @@
+// What the gateway's programs share of Boost.Asio and Beast: names, times, addresses, coroutines.
+#pragma once
+
+// clang-format off
+#include <utility>  // before Asio 1.74, which uses std::exchange without it
+// clang-format on
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "state.hpp"
+
+namespace lichenlanding::wings {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using Code = boost::system::error_code;
+template <typename T = void>
+using Task = asio::awaitable<T>;
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+
+inline Nanos now() {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+inline std::int64_t wallMillis() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+inline std::chrono::nanoseconds span(Nanos nanos) { return std::chrono::nanoseconds(nanos); }
+inline std::chrono::steady_clock::time_point point(Nanos at) {
+    return std::chrono::steady_clock::time_point(std::chrono::nanoseconds(at));
+}
+
+inline auto told(Code& code) { return asio::redirect_error(asio::use_awaitable, code); }
+
+// "10.1.0.13:8161". Throws std::invalid_argument.
+tcp::endpoint endpoint(const std::string& address);
+std::string hostOf(const std::string& address);
+
+// Small writes go at once; a peer that has gone silent ends the connection after `silence`.
+void tune(tcp::socket& socket, Nanos silence);
+
+tcp::acceptor listen(asio::io_context& io, const std::string& address);
+
+// Waits; an end of the wait by cancel() is no error.
+Task<> sleep(Nanos span);
+
+// A coroutine that is on its own: what it throws is logged with `step`.
+void start(asio::io_context& io, const char* step, Task<> task);
+
+// One waits, others wake it. A wake before the wait is kept.
+class Bell {
+  public:
+    explicit Bell(asio::io_context& io) : timer_(io) {}
+    void ring();
+    Task<bool> wait(Nanos until);  // false where the time came first
+
+  private:
+    asio::steady_timer timer_;
+    bool rung_ = false;
+};
+
+// SIGTERM and SIGINT call `stop`, SIGHUP calls `reload`; SIGPIPE is ignored.
+void signals(asio::io_context& io, std::function<void()> stop, std::function<void()> reload);
+
+}  // namespace lichenlanding::wings
--- a/tests/votes.cpp
+++ b/tests/votes.cpp
@@ -1,4 +1,5 @@
 #include "helper.hpp"
+#include "verdict/rank.hpp"
 
 namespace {
 
@@ -39,7 +40,7 @@
     const double s = std::sqrt(2.0) - 1, n = 6, m = 6;
     const double u =
         3 * (1 / 2.0 + 2 + 3) + 2 * (2 / 2.0 + 3) + 1 * (3 / 2.0);  // pairs with X before Y, ties half
-    const auto bounds = rankTest(x, y, 0.5, 40000, chance);
+    const auto bounds = verdict::rankTest(x, y, 0.5, 40000, chance);
     CHECK(bounds.lowerMean == doctest::Approx(u / ((s + n) * (s + m))).epsilon(0.01));
     CHECK(bounds.upperMean ==
           doctest::Approx((u + s * s + s * n + s * m) / ((s + n) * (s + m))).epsilon(0.01));
@@ -48,12 +49,12 @@
 
 TEST_CASE("with no outcome at all the bounds are 0 and 1, and one sure pair leaves the sides of a coin") {
     std::mt19937 chance(3);
-    const auto none = rankTest({0, 0}, {0, 0}, 0.4, 200, chance);
+    const auto none = verdict::rankTest({0, 0}, {0, 0}, 0.4, 200, chance);
     CHECK(none.lowerMean == 0);
     CHECK(none.upperMean == doctest::Approx(1));
     CHECK(none.lowerChance == 0);
     CHECK(none.upperChance == 1);
-    const auto one = rankTest({1, 0}, {0, 1}, 0.4, 40000, chance);
+    const auto one = verdict::rankTest({1, 0}, {0, 1}, 0.4, 40000, chance);
     CHECK(one.lowerMean == doctest::Approx(0.5).epsilon(0.02));  // 1 / (1 + s)^2 with s = sqrt(2) - 1
 }
 
