Prompter: no temporaries in awaited calls; front: time of a write set before its writer runs

Cause: core processes ended with munmap_chunk in the change of a rollout: GCC 12 destroys a closure that is a temporary of an awaited call twice.

Change: changes are locals; the time of a write is set when the writer is asked for.

--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -203,6 +203,7 @@
     exchange->ready = true;
     if (session->writing || !session->queue.front()->ready) return;
     session->writing = true;
+    session->writingSince = now();  // before the writer's turn comes: the sweep looks at both
     start(io_, "answer", write(session));
 }
 
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -342,9 +342,8 @@
                         {"why", why},
                         {"elapsed_ms", elapsed},
                         {"votes", said}});
-        co_await keeper.change(
-            rolloutsKey,
-            [rollout, to](const std::string& value) {
+        // A local, not a temporary of the awaited call: GCC 12 destroys such a one twice.
+        const reg::Change decide = [rollout, to](const std::string& value) {
                 auto all = cues::readRollouts(value);
                 std::int64_t number = 0;
                 for (const auto& one : all) number = std::max(number, one.number);
@@ -357,8 +356,8 @@
                     one = to, one.number = number + 1, changed = true;
                 }
                 return changed ? cues::write(all) : value;
-            },
-            answerWithin);
+            };
+        co_await keeper.change(rolloutsKey, decide, answerWithin);
     }
 
     // ---- The operator's calls. ----
@@ -421,10 +420,8 @@
                 400, Json{{"errors", refusal.mistakes}}.dump(-1, ' ', false, Json::error_handler_t::replace));
         }
         const auto version = versionOf(value);
-        const auto held = co_await keeper.change(
-            configurationKey,
-            [&](const std::string& now_) { return now_.empty() || versionOf(now_) < version ? value : now_; },
-            answerWithin);
+        const reg::Change put = [&](const std::string& now_) { return now_.empty() || versionOf(now_) < version ? value : now_; };
+        const auto held = co_await keeper.change(configurationKey, put, answerWithin);
         if (!held) co_return later("register: no majority has synced it");
         log("configuration", {{"version", playbill::versionText(version)}, {"held", held->substr(0, 8)}});
         co_return respond(200, Json{{"config_version", held->substr(0, 8)}}.dump());
@@ -441,9 +438,7 @@
             co_return wrong(400, "must hold service_name, target_version and deadline (\"12s\")");
         }
         order.began = wallMillis();
-        const auto held = co_await keeper.change(
-            rolloutsKey,
-            [&](const std::string& value) {
+        const reg::Change add = [&](const std::string& value) {
                 auto all = cues::readRollouts(value);
                 std::int64_t number = 0;
                 for (const auto& one : all) {
@@ -455,8 +450,8 @@
                 added.number = number + 1;
                 all.push_back(added);
                 return cues::write(all);
-            },
-            answerWithin);
+            };
+        const auto held = co_await keeper.change(rolloutsKey, add, answerWithin);
         if (!held) co_return later("register: no majority has synced it");
         log("rollout", {{"service", order.service},
                         {"target", order.target},
