--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -17,6 +17,7 @@
 constexpr Nanos tendEvery = 100 * ms;
 constexpr double bookPart = 0.6;  // of the disk that the book may take
 const std::string membersNote = "members";
+const reg::Change asItIs = [](const std::string& value) { return value; };
 
 Json write(const reg::Request& request) {
     return {static_cast<int>(request.kind), request.key, cues::write(request.ballot), request.value};
@@ -204,9 +205,8 @@
 
 // ---- Runs at keys. ----
 
-Task<std::optional<std::string>> Keeper::change(std::string key, reg::Change change, Nanos within) {
+Task<std::optional<std::string>> Keeper::change(std::string key, reg::Change change, Nanos within, bool look) {
     const Nanos end = now() + within;
-    bool look = true;
     std::mt19937 chance(static_cast<unsigned>(now()));
     while (now() < end) {
         if (!formed()) {
@@ -298,49 +298,39 @@
             auto& rumour = rumoured_[key];
             rumour = std::max(rumour, cues::readBallot(ballot));
         }
-    } else if (kind == "dump?") {
-        Json cells = Json::object();
-        for (const auto& [key, cell] : copy_.cells()) cells[key] = cues::write(cell);
-        link.send(Json{{"t", "dump"}, {"blank", copy_.blank()}, {"cells", std::move(cells)}});
-    } else if (kind == "dump") {
-        if (!copy_.blank() || message.at("blank").get<bool>()) return true;
-        auto& cells = dumps_[link.peer];
-        cells.clear();
-        for (const auto& [key, cell] : message.at("cells").items()) cells[key] = cues::readCell(cell);
-        rejoin();
     } else {
         return false;
     }
     return true;
 }
 
-// A disk that came back empty counts again once a majority of others that are not blank has told all it
-// holds, and the highest of each is on this disk.
-void Keeper::rejoin() {
-    if (rejoining_ || !copy_.blank() || dumps_.size() < size_ / 2 + 1) return;
-    rejoining_ = true;
+// A disk that came back empty: register.hpp tells why each key is written anew by the others first.
+Task<> Keeper::rejoin() {
     Errand errand;
-    for (const auto& [_, cells] : dumps_) reg::Copy::highest(errand.cells, cells);
+    for (const auto& key : {configurationKey, rolloutsKey}) {
+        std::optional<std::string> value;
+        while (!value) value = co_await change(key, asItIs, second, false);
+        const auto& known = this->known(key);
+        errand.cells[key] = {known.ballot, known.ballot, known.value};
+    }
     for (const auto& member : members_) {
         auto& text = errand.notes[membersNote];
         text += (text.empty() ? "" : ",") + member;
     }
     errand.after = [this] {
         copy_.filled();
-        log("rejoined", {{"keys", copy_.cells().size()}, {"from", dumps_.size()}});
-        dumps_.clear();
+        log("rejoined", {{"keys", copy_.cells().size()}});
     };
     enqueue(std::move(errand));
 }
 
 Task<> Keeper::tend() {
+    bool rejoining = false;
     std::set<std::string> first{configurationKey, rolloutsKey};  // nothing is known yet at a start
     for (;;) {
         co_await sleep(tendEvery);
         if (!open_ || !formed()) continue;
-        if (copy_.blank() && !fresh_ && !rejoining_)
-            for (const auto& [address, link] : links_)
-                if (members_.contains(address)) link->send(Json{{"t", "dump?"}});
+        if (copy_.blank() && !fresh_ && !std::exchange(rejoining, true)) start(io_, "rejoin", rejoin());
         for (const auto& key : {configurationKey, rolloutsKey}) {
             const auto accepted = acceptedAt_.find(key);
             const bool unlearnt = accepted != acceptedAt_.end() && now() - accepted->second > unlearntFor;
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -33,7 +33,7 @@
     ~Keeper();
 
     void open();  // the disk, and what is on it
-    // Messages of members ("reg", "reply", "learn", "known", "dump"); true where it was one of them.
+    // Messages of members ("reg", "reply", "learn", "known"); true where it was one of them.
     bool heard(Link& link, const Json& message);
     // A link to a member is open; `to` is its address. Replies come back on it.
     void joined(const std::string& to, std::shared_ptr<Link> link);
@@ -42,7 +42,8 @@
     void greeted(const Json& hello);
 
     // Null where no majority could be had in time.
-    Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within);
+    // `look`: first see whether a majority agrees on a value that needs no change.
+    Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within, bool look = true);
     Task<std::optional<std::string>> read(std::string key, Nanos within);
 
     const Known& known(const std::string& key) const;
@@ -67,7 +68,7 @@
     Task<bool> write(std::map<std::string, reg::Cell> cells, std::map<std::string, std::string> notes);
     void learn(const std::string& key, const reg::Ballot& ballot, const std::string& value);
     void form();
-    void rejoin();
+    Task<> rejoin();
     std::uint32_t number(const std::string& address) const;
 
     wings::asio::io_context& io_;
@@ -89,8 +90,6 @@
     std::map<std::string, Known> known_;
     std::map<std::string, reg::Ballot> rumoured_;  // told to be in force somewhere
     std::map<std::string, Nanos> acceptedAt_;      // own cells accepted and not yet learnt
-    std::map<std::string, std::map<std::string, reg::Cell>> dumps_;
-    bool rejoining_ = false;
 };
 
 }  // namespace lichenlanding::prompter
--- a/src/register/register.cpp
+++ b/src/register/register.cpp
@@ -32,14 +32,6 @@
     return reply;
 }
 
-void Copy::highest(std::map<std::string, Cell>& into, const std::map<std::string, Cell>& from) {
-    for (const auto& [key, cell] : from) {
-        auto& mine = into[key];
-        mine.promised = std::max(mine.promised, cell.promised);
-        if (cell.accepted > mine.accepted) mine.accepted = cell.accepted, mine.value = cell.value;
-    }
-}
-
 Run::Run(std::string key, std::size_t members, std::uint32_t writer, std::uint64_t above, Change change,
          bool lookFirst)
     : key_(std::move(key)),
@@ -69,13 +61,10 @@
     above_ = std::max({above_, reply.cell.promised.round, reply.cell.accepted.round});
     const auto majority = members_ / 2 + 1;
     if (step_ == Step::look) {
-        // A promise above the value may stand for a write in flight that a copied cell hides (see the
-        // header).
-        clean_ = clean_ && reply.cell.promised == reply.cell.accepted && (!agreed_ || *agreed_ == reply.cell);
+        agree_ = agree_ && (!agreed_ || agreed_->accepted == reply.cell.accepted);
         agreed_ = reply.cell;
-        if (clean_ && heard_.size() < majority) return false;
-        const bool changes = clean_ && change_(reply.cell.value) != reply.cell.value;
-        if (clean_ && !changes) {
+        if (agree_ && heard_.size() < majority) return false;
+        if (agree_ && change_(reply.cell.value) == reply.cell.value) {
             value_ = reply.cell.value, ballot_ = reply.cell.accepted;
             move(Step::done);
         } else {
--- a/src/register/register.hpp
+++ b/src/register/register.hpp
@@ -75,7 +75,7 @@
 // From what is in force to what shall be; the same value: nothing to change, but let it be surely in force.
 using Change = std::function<std::string(const std::string&)>;
 
-// One run at a key: a look (which ends at once where a clean majority agrees), else prepare and accept. The
+// One run at a key: a look (which ends at once where a majority agrees), else prepare and accept. The
 // host sends request() to all members whenever the step has moved, and hands in replies with the step they
 // answer; a reply of an earlier step is dropped. On `lost` it waits a little and begins anew with `above()`.
 class Run {
@@ -108,7 +108,7 @@
     Cell best_;
     std::set<std::uint32_t> heard_, taken_;
     std::optional<Cell> agreed_;
-    bool clean_ = true;
+    bool agree_ = true;
 };
 
 }  // namespace lichenlanding::reg
