Front: a pod's 429 and 503 pass only with its word; transcripts of whole exchanges

Change: promises need the pod's word, else 502; the reader alone reads, the writer only when the reader has ended.

--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -16,6 +16,7 @@
 constexpr Nanos connectWithin = 250 * ms;  // a pod's connection comes up, or it is left
 constexpr Nanos bodyWithin = 30 * second;  // a request's body
 constexpr Nanos unreadFor = 10 * second;   // a client that does not take its answers
+constexpr Nanos lingerFor = 300 * ms;      // after the last answer, for what is still on its way
 constexpr Nanos whileUnready = 300 * ms;   // told to clients that come before the first configuration
 constexpr Nanos clientTimeUnlessTold = 60 * second;
 
@@ -73,7 +74,10 @@
     std::deque<std::shared_ptr<Exchange>> queue;
     Bell room;
     std::uint64_t number = 0;
-    bool writing = false, reading = true, dead = false, idle = false;
+    bool writing = false, dead = false, idle = false;
+    bool readerIn = true;  // the reading coroutine runs
+    bool away = false;     // the last answer is out: what comes is not read
+
     Nanos readBy = 0, writingSince = 0;
     bool late = false;  // what it was to have read by then has not come
 
@@ -128,7 +132,7 @@
     for (const auto& session : late) {
         session->late = true;
         Code ignored;
-        if (session->writing) session->kill();
+        if (session->writing && !session->away) session->kill();
         else session->socket.cancel(ignored);
     }
 }
@@ -149,11 +153,12 @@
         Code code;
         if (session->buffer.size() == 0) {
             session->idle = true;
-            session->readBy = now() + limits.idleTimeout;
+            if (!session->away) session->readBy = now() + limits.idleTimeout;
             const auto space = session->buffer.prepare(4096);
             const auto read = co_await session->socket.async_read_some(space, told(code));
             session->idle = false;
             if (code) break;
+            if (session->away) continue;
             session->buffer.commit(read);
         }
         http::request_parser<http::string_body> parser;
@@ -190,10 +195,9 @@
         if (exchange->last) break;
         while (session->queue.size() >= aheadAtMost && !session->dead)
             co_await session->room.wait(now() + second);
-        if (draining_ && session->queue.empty()) break;
     }
-    session->reading = false;
-    if (session->queue.empty() && !session->writing) {
+    session->readerIn = false;
+    if (session->dead || (session->queue.empty() && !session->writing)) {
         session->kill();
         sessions_.erase(session->number);
     }
@@ -233,18 +237,18 @@
         if (last) {
             Code ignored;
             session->socket.shutdown(tcp::socket::shutdown_send, ignored);
-            session->reading = false;
             // What the client has sent meanwhile is read away for a moment: closing on it would reset the
-            // connection under an answer that may not have arrived.
-            session->readBy = now() + 300 * ms;
-            char away[1024];
-            while (!code && !session->dead)
-                co_await session->socket.async_read_some(asio::buffer(away), told(code));
-            session->kill();
+            // connection under an answer that may not have arrived. One coroutine reads, never two.
+            session->away = true;
+            session->readBy = now() + lingerFor;
+            char bytes[1024];
+            while (!session->readerIn && !code && !session->dead)
+                co_await session->socket.async_read_some(asio::buffer(bytes), told(code));
+            break;
         }
     }
     session->writing = false;
-    if (session->dead || (!session->reading && session->queue.empty())) {
+    if (session->dead || (!session->readerIn && session->queue.empty())) {
         session->kill();
         sessions_.erase(session->number);
     }
--- a/src/foyer/upstream.cpp
+++ b/src/foyer/upstream.cpp
@@ -128,19 +128,22 @@
         }
         attempt->response = parser.release();
         const auto& response = attempt->response;
-        const bool success = response.result_int() / 100 == 2;
+        const auto status = response.result_int();
+        const bool success = status / 100 == 2, turned = response.count("X-Not-Executed") > 0;
         // MIXED: a success is the pod's own only with its stamp, its id, and a length that shows it is whole.
-        const bool own =
-            theirs == id &&
-            (!success ||
-             (response.count("X-Response-Seal") > 0 && response.count(http::field::content_encoding) == 0)) &&
-            (response.has_content_length() || response.chunked() || response.result_int() == 204);
+        // REFUSED: what promises that nothing ran (408, 429, 503) is passed on only with the pod's word for
+        // it.
+        const bool stamped = theirs == id && response.count("X-Response-Seal") > 0 &&
+                             response.count(http::field::content_encoding) == 0;
+        const bool promises = status == 408 || status == 429 || status == 503;
+        const bool bounded =
+            response.has_content_length() || response.chunked() || status == 204 || status == 304;
+        const bool own = bounded && (!success || stamped) && (!promises || turned);
         whole = true;
-        attempt->end = !own                                   ? End::spoilt
-                       : response.result_int() == 421         ? End::elsewhere
-                       : response.count("X-Not-Executed") > 0 ? End::turned
-                                                              : End::answered;
-        // 503 and 421 of a pod promise nothing without its word; only X-Not-Executed and 421 do.
+        attempt->end = !own            ? End::spoilt
+                       : status == 421 ? End::elsewhere
+                       : turned        ? End::turned
+                                       : End::answered;
         break;
     }
     if (attempt->overdue && !whole) attempt->end = End::overdue;
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -205,7 +205,8 @@
 
 // ---- Runs at keys. ----
 
-Task<std::optional<std::string>> Keeper::change(std::string key, reg::Change change, Nanos within, bool look) {
+Task<std::optional<std::string>> Keeper::change(std::string key, reg::Change change, Nanos within,
+                                                bool look) {
     const Nanos end = now() + within;
     std::mt19937 chance(static_cast<unsigned>(now()));
     while (now() < end) {
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -43,7 +43,8 @@
 
     // Null where no majority could be had in time.
     // `look`: first see whether a majority agrees on a value that needs no change.
-    Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within, bool look = true);
+    Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within,
+                                            bool look = true);
     Task<std::optional<std::string>> read(std::string key, Nanos within);
 
     const Known& known(const std::string& key) const;
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -344,19 +344,19 @@
                         {"votes", said}});
         // A local, not a temporary of the awaited call: GCC 12 destroys such a one twice.
         const reg::Change decide = [rollout, to](const std::string& value) {
-                auto all = cues::readRollouts(value);
-                std::int64_t number = 0;
-                for (const auto& one : all) number = std::max(number, one.number);
-                bool changed = false;
-                for (auto& one : all) {
-                    // What is decided stays decided, whoever else steers.
-                    if (one.service != to.service || one.target != to.target || !one.running() ||
-                        one.stage != rollout.stage)
-                        continue;
-                    one = to, one.number = number + 1, changed = true;
-                }
-                return changed ? cues::write(all) : value;
-            };
+            auto all = cues::readRollouts(value);
+            std::int64_t number = 0;
+            for (const auto& one : all) number = std::max(number, one.number);
+            bool changed = false;
+            for (auto& one : all) {
+                // What is decided stays decided, whoever else steers.
+                if (one.service != to.service || one.target != to.target || !one.running() ||
+                    one.stage != rollout.stage)
+                    continue;
+                one = to, one.number = number + 1, changed = true;
+            }
+            return changed ? cues::write(all) : value;
+        };
         co_await keeper.change(rolloutsKey, decide, answerWithin);
     }
 
@@ -420,7 +420,9 @@
                 400, Json{{"errors", refusal.mistakes}}.dump(-1, ' ', false, Json::error_handler_t::replace));
         }
         const auto version = versionOf(value);
-        const reg::Change put = [&](const std::string& now_) { return now_.empty() || versionOf(now_) < version ? value : now_; };
+        const reg::Change put = [&](const std::string& now_) {
+            return now_.empty() || versionOf(now_) < version ? value : now_;
+        };
         const auto held = co_await keeper.change(configurationKey, put, answerWithin);
         if (!held) co_return later("register: no majority has synced it");
         log("configuration", {{"version", playbill::versionText(version)}, {"held", held->substr(0, 8)}});
@@ -439,18 +441,17 @@
         }
         order.began = wallMillis();
         const reg::Change add = [&](const std::string& value) {
-                auto all = cues::readRollouts(value);
-                std::int64_t number = 0;
-                for (const auto& one : all) {
-                    number = std::max(number, one.number);
-                    if (one.service == order.service && one.target == order.target)
-                        return value;  // sent again
-                }
-                auto added = order;
-                added.number = number + 1;
-                all.push_back(added);
-                return cues::write(all);
-            };
+            auto all = cues::readRollouts(value);
+            std::int64_t number = 0;
+            for (const auto& one : all) {
+                number = std::max(number, one.number);
+                if (one.service == order.service && one.target == order.target) return value;  // sent again
+            }
+            auto added = order;
+            added.number = number + 1;
+            all.push_back(added);
+            return cues::write(all);
+        };
         const auto held = co_await keeper.change(rolloutsKey, add, answerWithin);
         if (!held) co_return later("register: no majority has synced it");
         log("rollout", {{"service", order.service},
--- a/tests/gateway/playbill.cpp
+++ b/tests/gateway/playbill.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 std::string route(const std::string& name, const std::string& prefix, const std::string& more) {
-    return R"({"resource_type":"route_table","metadata":{"name":")" + name + R"("},"spec":{"hostname":"h.example","path_prefix":")" +
-           prefix + R"(","route_class":"idempotent","max_attempts":2,"priority":1,)" + more + "}}";
+    return R"({"resource_type":"route_table","metadata":{"name":")" + name +
+           R"("},"spec":{"hostname":"h.example","path_prefix":")" + prefix +
+           R"(","route_class":"idempotent","max_attempts":2,"priority":1,)" + more + "}}";
 }
 const std::string times = R"("timeout":"1500ms","target_latency":"0.6s",)";
 const std::string toA = R"("service_name":"a")";
@@ -21,7 +22,8 @@
     R"({"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":4096,"idle_timeout":"7s"}})";
 
 std::string whole(const std::string& routes, const std::string& version = "0000000c") {
-    return R"({"config_version":")" + version + R"(","resources":[)" + (routes.empty() ? "" : routes + ",") + services + "]}";
+    return R"({"config_version":")" + version + R"(","resources":[)" + (routes.empty() ? "" : routes + ",") +
+           services + "]}";
 }
 
 std::string mistakes(const std::string& body) {
@@ -48,32 +50,48 @@
     void refusals() {
         const auto good = route("r", "/p/", times + toA);
         std::string seen;
-        const auto see = [&](const char* what, const std::string& body) { seen += std::string(what) + ": " + mistakes(body); };
+        const auto see = [&](const char* what, const std::string& body) {
+            seen += std::string(what) + ": " + mistakes(body);
+        };
         see("as it should be", whole(good));
         see("cut short", whole(good).substr(0, 200));
         see("no object", "[]");
         see("empty", "");
         see("unknown service", whole(route("r", "/p/", times + R"("service_name":"c")")));
         see("same place twice", whole(good + "," + route("s", "/p/", times + toA)));
-        see("weights of 0", whole(route("r", "/p/", times + R"("traffic_split":[{"service_name":"a","weight":0},{"service_name":"b","weight":0}])")));
-        see("timeout over ten minutes", whole(route("r", "/p/", R"("timeout":"601s","target_latency":"600ms",)" + toA)));
-        see("target a minute above the timeout", whole(route("r", "/p/", R"("timeout":"1500ms","target_latency":"61.5s",)" + toA)));
-        see("target just below that", whole(route("r", "/p/", R"("timeout":"1500ms","target_latency":"61.499s",)" + toA)));
+        see("weights of 0",
+            whole(route(
+                "r", "/p/",
+                times +
+                    R"("traffic_split":[{"service_name":"a","weight":0},{"service_name":"b","weight":0}])")));
+        see("timeout over ten minutes",
+            whole(route("r", "/p/", R"("timeout":"601s","target_latency":"600ms",)" + toA)));
+        see("target a minute above the timeout",
+            whole(route("r", "/p/", R"("timeout":"1500ms","target_latency":"61.5s",)" + toA)));
+        see("target just below that",
+            whole(route("r", "/p/", R"("timeout":"1500ms","target_latency":"61.499s",)" + toA)));
         see("version of seven digits", whole(good, "000000c"));
         see("version of other letters", whole(good, "0000000g"));
         see("prefix without its slash", whole(route("r", "/p", times + toA)));
-        see("time of another kind", whole(route("r", "/p/", R"("timeout":1500,"target_latency":"fast",)" + toA)));
-        see("negative weight", whole(route("r", "/p/", times + R"("traffic_split":[{"service_name":"a","weight":-1}])")));
+        see("time of another kind",
+            whole(route("r", "/p/", R"("timeout":1500,"target_latency":"fast",)" + toA)));
+        see("negative weight",
+            whole(route("r", "/p/", times + R"("traffic_split":[{"service_name":"a","weight":-1}])")));
         see("no service", whole(route("r", "/p/", R"("timeout":"1s","target_latency":"1s")")));
         see("all at once", whole(route("r", "p", R"("timeout":"700s")") + R"(,{"resource_type":"table"})"));
         approve("playbill-refusals", seen);
     }
 
     void routes() {
-        const auto playbill = Playbill::read(whole(route("short", "/a/", times + toA) + "," + route("long", "/a/b/", times + toA) + "," +
-                                                   route("root", "/", times + R"("traffic_split":[{"service_name":"a","weight":90},{"service_name":"b","weight":10}])")));
+        const auto playbill = Playbill::read(whole(
+            route("short", "/a/", times + toA) + "," + route("long", "/a/b/", times + toA) + "," +
+            route(
+                "root", "/",
+                times +
+                    R"("traffic_split":[{"service_name":"a","weight":90},{"service_name":"b","weight":10}])")));
         std::string seen;
-        for (const auto* path : {"/a/1", "/a/b/1", "/a/b", "/a/b/?q=/a/", "/ab/1", "/", "/?x", "/a/b/c/d/e", "", "a/"}) {
+        for (const auto* path :
+             {"/a/1", "/a/b/1", "/a/b", "/a/b/?q=/a/", "/ab/1", "/", "/?x", "/a/b/c/d/e", "", "a/"}) {
             const auto* found = playbill.find("H.example:80", path);
             seen += std::string("'") + path + "' -> " + (found ? found->name : "none") + "\n";
         }
@@ -86,26 +104,34 @@
 
     void manyRoutes() {
         std::string all;
-        for (int at = 0; at < 520; ++at) all += (at ? "," : "") + route("r" + std::to_string(at), "/p" + std::to_string(at) + "/", times + toA);
+        for (int at = 0; at < 520; ++at)
+            all += (at ? "," : "") +
+                   route("r" + std::to_string(at), "/p" + std::to_string(at) + "/", times + toA);
         const auto playbill = Playbill::read(whole(all));
         for (int at = 0; at < 520; ++at)
-            CPPUNIT_ASSERT_EQUAL("r" + std::to_string(at), playbill.find("h.example", "/p" + std::to_string(at) + "/x")->name);
+            CPPUNIT_ASSERT_EQUAL("r" + std::to_string(at),
+                                 playbill.find("h.example", "/p" + std::to_string(at) + "/x")->name);
     }
 
     void settings() {
-        const std::string rest = R"("ip_address":"127.0.0.9","zone":"z","internal_ports":[7720,7735],"seed_nodes":[],"cloud_api":{"address":"127.0.0.1:1"},"new_field":[1])";
+        const std::string rest =
+            R"("ip_address":"127.0.0.9","zone":"z","internal_ports":[7720,7735],"seed_nodes":[],"cloud_api":{"address":"127.0.0.1:1"},"new_field":[1])";
         std::string seen;
         for (const auto& [what, text] : std::vector<std::pair<std::string, std::string>>{
-                 {"as it should be", R"({"node_name":"n",)" + rest + R"(,"bounds":["retry_slack=64","drain=2.5s","other=x"]})"},
-                 {"bounds on one line", R"({"node_name":"n",)" + rest + R"(,"bounds":"retry_slack=7,drain=100ms"})"},
+                 {"as it should be",
+                  R"({"node_name":"n",)" + rest + R"(,"bounds":["retry_slack=64","drain=2.5s","other=x"]})"},
+                 {"bounds on one line",
+                  R"({"node_name":"n",)" + rest + R"(,"bounds":"retry_slack=7,drain=100ms"})"},
                  {"no name", "{" + rest + "}"},
                  {"name of another kind", R"({"node_name":3,)" + rest + "}"},
-                 {"bound without a number", R"({"node_name":"n",)" + rest + R"(,"bounds":["retry_slack=many"]})"},
+                 {"bound without a number",
+                  R"({"node_name":"n",)" + rest + R"(,"bounds":["retry_slack=many"]})"},
                  {"bound without a unit", R"({"node_name":"n",)" + rest + R"(,"bounds":["drain=25"]})"},
                  {"no JSON", "node_name=n"}}) {
             try {
                 const auto boot = Boot::read(text);
-                seen += what + ": slack " + std::to_string(boot.budgetSlack) + ", drain " + std::to_string(boot.drain) + " ns, at " + boot.internal(boot.ip) + "\n";
+                seen += what + ": slack " + std::to_string(boot.budgetSlack) + ", drain " +
+                        std::to_string(boot.drain) + " ns, at " + boot.internal(boot.ip) + "\n";
             } catch (const std::runtime_error& wrong) {
                 seen += what + ": " + wrong.what() + "\n";
             }
--- a/tests/gateway/register.cpp
+++ b/tests/gateway/register.cpp
@@ -22,8 +22,11 @@
     Request request;
     Reply answer;
     std::string text() const {
-        std::string all = std::to_string(run) + "/" + std::to_string(copy) + "/" + std::to_string(static_cast<int>(step)) + (reply ? "r" : "q");
-        const auto add = [&](const Ballot& ballot) { all += ":" + std::to_string(ballot.round) + "." + std::to_string(ballot.writer); };
+        std::string all = std::to_string(run) + "/" + std::to_string(copy) + "/" +
+                          std::to_string(static_cast<int>(step)) + (reply ? "r" : "q");
+        const auto add = [&](const Ballot& ballot) {
+            all += ":" + std::to_string(ballot.round) + "." + std::to_string(ballot.writer);
+        };
         if (!reply) return add(request.ballot), all + request.value;
         all += answer.blank ? "b" : answer.taken ? "t" : "n";
         return add(answer.cell.promised), add(answer.cell.accepted), all + answer.cell.value;
@@ -40,12 +43,13 @@
     std::vector<std::string> heard;  // by run, in its step
     std::vector<std::string> ended;  // values that runs have ended with, in order
     int wipes = 0, doubles = 0;
-    std::vector<int> lost;                 // copies whose disk is lost and that have not rejoined, in order
-    std::map<int, int> joining;            // run -> the copy it rejoins
+    std::vector<int> lost;       // copies whose disk is lost and that have not rejoined, in order
+    std::map<int, int> joining;  // run -> the copy it rejoins
     Bug bug = Bug::none;
     std::string broken;
 
-    World(std::size_t disks, int wipes_, int doubles_, Bug bug_) : copies(disks, Copy(false)), wipes(wipes_), doubles(doubles_), bug(bug_) {
+    World(std::size_t disks, int wipes_, int doubles_, Bug bug_)
+        : copies(disks, Copy(false)), wipes(wipes_), doubles(doubles_), bug(bug_) {
         add("7A", true), add("7B", true);
     }
 
@@ -54,7 +58,9 @@
     }
     void add(const std::string& value, bool look) {
         const auto number = static_cast<std::uint32_t>(runs.size() + 1);
-        runs.emplace_back("k", copies.size(), number, 0, value.empty() ? Change([](const std::string& held) { return held; }) : put(value), look);
+        runs.emplace_back("k", copies.size(), number, 0,
+                          value.empty() ? Change([](const std::string& held) { return held; }) : put(value),
+                          look);
         attempts.push_back(0), heard.emplace_back(), after.push_back(!ended.empty());
         send(static_cast<int>(runs.size()) - 1);
     }
@@ -66,8 +72,10 @@
         heard[run].clear();
         auto& its = runs[run];
         if (its.step() == Run::Step::done) {
-            // Lasting: bodies of one number are one body, whoever ended with it, and a later one builds on it.
-            if (!ended.empty() && !its.value().empty() && ended.back() != its.value()) broken = "Lasting: " + ended.back() + " then " + its.value();
+            // Lasting: bodies of one number are one body, whoever ended with it, and a later one builds on
+            // it.
+            if (!ended.empty() && !its.value().empty() && ended.back() != its.value())
+                broken = "Lasting: " + ended.back() + " then " + its.value();
             if (its.value().empty() && after[run]) broken = "Lasting: nothing after " + ended.back();
             if (!its.value().empty()) ended.push_back(its.value());
             if (const auto at = joining.find(run); at != joining.end()) {
@@ -80,7 +88,10 @@
             if (++attempts[run] > 1) return;
             const auto above = its.above();
             its = Run("k", copies.size(), static_cast<std::uint32_t>(run + 1), above,
-                      run == 0 ? put("7A") : run == 1 ? put("7B") : Change([](const std::string& held) { return held; }), false);
+                      run == 0   ? put("7A")
+                      : run == 1 ? put("7B")
+                                 : Change([](const std::string& held) { return held; }),
+                      false);
             send(run);
         } else {
             send(run);
@@ -133,14 +144,17 @@
     void deliver(const Message& message) {
         if (message.reply) {
             heard[message.run] += message.text() + ";";
-            if (runs[message.run].on(static_cast<std::uint32_t>(message.copy), message.step, message.answer)) moved(message.run);
+            if (runs[message.run].on(static_cast<std::uint32_t>(message.copy), message.step, message.answer))
+                moved(message.run);
             return;
         }
         auto& copy = copies[message.copy];
         std::optional<Cell> change;
         auto reply = copy.weigh(message.request, change);
-        if (change && bug == Bug::forgetsPromise && message.request.kind == Request::Kind::prepare) change->promised = copy.cell("k").promised;
-        if (change && !(bug == Bug::tellsBeforeDisk && message.copy == 0)) copy.put(message.request.key, *change);
+        if (change && bug == Bug::forgetsPromise && message.request.kind == Request::Kind::prepare)
+            change->promised = copy.cell("k").promised;
+        if (change && !(bug == Bug::tellsBeforeDisk && message.copy == 0))
+            copy.put(message.request.key, *change);
         messages.push_back({message.run, message.copy, message.step, true, {}, reply});
     }
     std::string key() const {
@@ -152,13 +166,16 @@
         for (const auto& copy : copies) {
             const auto& cell = copy.cell("k");
             all += copy.blank() ? "B" : "c";
-            for (const auto& ballot : {cell.promised, cell.accepted}) all += std::to_string(ballot.round) + "." + std::to_string(ballot.writer) + ",";
+            for (const auto& ballot : {cell.promised, cell.accepted})
+                all += std::to_string(ballot.round) + "." + std::to_string(ballot.writer) + ",";
             all += cell.value;
         }
         for (std::size_t run = 0; run < runs.size(); ++run)
-            all += "#" + std::to_string(static_cast<int>(runs[run].step())) + runs[run].value() + std::to_string(runs[run].above()) + "." +
-                   std::to_string(runs[run].ballot().round) + "~" + std::to_string(attempts[run]) + heard[run];
-        return all + "w" + std::to_string(wipes) + std::to_string(doubles) + std::to_string(lost.size()) + "." + std::to_string(lost.empty() ? 9 : lost[0]) + std::to_string(joining.size()) +
+            all += "#" + std::to_string(static_cast<int>(runs[run].step())) + runs[run].value() +
+                   std::to_string(runs[run].above()) + "." + std::to_string(runs[run].ballot().round) + "~" +
+                   std::to_string(attempts[run]) + heard[run];
+        return all + "w" + std::to_string(wipes) + std::to_string(doubles) + std::to_string(lost.size()) +
+               "." + std::to_string(lost.empty() ? 9 : lost[0]) + std::to_string(joining.size()) +
                (ended.empty() ? "" : ended.back());
     }
 };
@@ -192,7 +209,8 @@
             if (choice < world.messages.size() * ways && draw() % 4 != 0) choice -= choice % ways;
             world.choose(choice);
             if (!world.broken.empty())
-                return "seed " + std::to_string(seed) + ", disks " + std::to_string(disks) + ", step " + std::to_string(step) + ": " + world.broken;
+                return "seed " + std::to_string(seed) + ", disks " + std::to_string(disks) + ", step " +
+                       std::to_string(step) + ": " + world.broken;
         }
     }
     return "";
@@ -210,7 +228,8 @@
 
   public:
     void everyOrder() {
-        for (const auto& [disks, wipes, doubles] : std::vector<std::tuple<std::size_t, int, int>>{{3, 0, 0}, {3, 1, 0}, {3, 0, 1}}) {
+        for (const auto& [disks, wipes, doubles] :
+             std::vector<std::tuple<std::size_t, int, int>>{{3, 0, 0}, {3, 1, 0}, {3, 0, 1}}) {
             const auto [states, broken] = explore(World(disks, wipes, doubles, Bug::none), 40'000);
             std::printf(" (%zu disks, %d lost, %d doubled: %zu states)", disks, wipes, doubles, states);
             CPPUNIT_ASSERT_EQUAL(std::string(), broken);
@@ -218,12 +237,15 @@
     }
     void seeded() {
         for (const std::size_t disks : {3u, 5u})
-            CPPUNIT_ASSERT_EQUAL(std::string(), chance(disks, static_cast<int>(disks) / 2, Bug::none, 1, 20'000));
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                                 chance(disks, static_cast<int>(disks) / 2, Bug::none, 1, 20'000));
     }
     void bugsAreFound() {
-        for (const auto bug : {Bug::blankCounts, Bug::tellsBeforeDisk, Bug::forgetsPromise, Bug::rejoinsByCopy}) {
+        for (const auto bug :
+             {Bug::blankCounts, Bug::tellsBeforeDisk, Bug::forgetsPromise, Bug::rejoinsByCopy}) {
             const auto found = chance(3, 1, bug, 1, 400'000);
-            CPPUNIT_ASSERT_MESSAGE("bug " + std::to_string(static_cast<int>(bug)) + " was not found", !found.empty());
+            CPPUNIT_ASSERT_MESSAGE("bug " + std::to_string(static_cast<int>(bug)) + " was not found",
+                                   !found.empty());
             std::printf(" (bug %d: %s)", static_cast<int>(bug), found.c_str());
         }
     }
@@ -231,11 +253,15 @@
     void threeCopies() {
         for (std::uint32_t first = 0; first < 3; ++first) {
             std::vector<Copy> copies(3, Copy(false));
-            for (std::uint32_t at = 0; at < 3; ++at) copies[at].put("k", {{3, 9}, {at + 1, 9}, std::to_string(at + 1)});
+            for (std::uint32_t at = 0; at < 3; ++at)
+                copies[at].put("k", {{3, 9}, {at + 1, 9}, std::to_string(at + 1)});
             const auto read = [&](std::uint32_t from, std::uint64_t above) {
-                Run run("k", 3, 1, above, [](const std::string& held) { return held; }, true);
+                Run run(
+                    "k", 3, 1, above, [](const std::string& held) { return held; }, true);
                 while (run.step() != Run::Step::done) {
-                    if (run.step() == Run::Step::lost) run = Run("k", 3, 1, run.above(), [](const std::string& held) { return held; }, false);
+                    if (run.step() == Run::Step::lost)
+                        run = Run(
+                            "k", 3, 1, run.above(), [](const std::string& held) { return held; }, false);
                     const auto request = run.request();
                     const auto step = run.step();
                     for (std::uint32_t at = 0; at < 3; ++at) {
@@ -248,7 +274,8 @@
                 return run.value();
             };
             const auto value = read(first, 0);
-            CPPUNIT_ASSERT(value >= "2");  // of the two copies it met first, the higher (all have promised the highest)
+            CPPUNIT_ASSERT(
+                value >= "2");  // of the two copies it met first, the higher (all have promised the highest)
             for (std::uint32_t again = 0; again < 3; ++again) CPPUNIT_ASSERT_EQUAL(value, read(again, 9));
         }
     }
--- /dev/null
+++ b/tests/gateway/stage.hpp
@@ -0,0 +1,204 @@
+// A foyer's front on real loopback sockets in one thread: scripted pods, clients that write bytes. What all
+// of them saw becomes a transcript. Nothing waits for time to pass; a stall fails the test.
+#pragma once
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "foyer/front.hpp"
+#include "transcript.hpp"
+
+namespace stage {
+
+using namespace lichenlanding;
+using namespace lichenlanding::wings;
+namespace http = boost::beast::http;
+
+// What a pod does with the next request on a connection. `bytes` may hold {id}, put in place of the
+// request's.
+struct Act {
+    std::string bytes;
+    enum After { keep, close, reset, hold } after = keep;
+};
+
+inline std::string ok(const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal-" + body.substr(0, 9) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
+}
+
+class Stage {
+  public:
+    explicit Stage(const std::string& routes = "") {
+        boot.zone = "z", boot.budgetSlack = 20;
+        casting = std::make_unique<casting::Casting>(boot, 1);
+        casting->take(std::make_shared<playbill::Playbill>(playbill::Playbill::read(configuration(routes))));
+        upstream = std::make_unique<foyer::Upstream>(io);
+        front = std::make_unique<foyer::Front>(io, *casting, *upstream);
+        clients = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
+        start(io, "clients", front->serve(*clients));
+    }
+    ~Stage() {
+        Code ignored;
+        clients->close(ignored);
+        for (auto& [_, acceptor] : doors) acceptor->close(ignored);
+        io.stop();
+    }
+
+    static std::string configuration(const std::string& more) {
+        const auto route = [](const char* prefix, const char* kind) {
+            return std::string(R"({"resource_type":"route_table","metadata":{"name":")") + prefix +
+                   R"("},"spec":{"hostname":"h","path_prefix":")" + prefix + R"(","route_class":")" + kind +
+                   R"(","timeout":"5s","target_latency":"4s","priority":1,"service_name":"s","max_attempts":2}},)";
+        };
+        return R"({"config_version":"00000001","resources":[)" + route("/read/", "idempotent") +
+               route("/write/", "non_idempotent") + more +
+               R"({"resource_type":"service_table","metadata":{"name":"s"},"spec":{"max_connections":100}},)"
+               R"({"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":2048,"max_body_bytes":4096,"header_timeout":"3s","idle_timeout":"15s"}}]})";
+    }
+
+    // A pod that follows `acts`, one a request it gets, over all its connections.
+    void pod(const std::string& name, std::deque<Act> acts) {
+        scripts[name] = std::move(acts);
+        doors[name] = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
+        start(io, "pod", serve(name));
+        list(name, "127.0.0.1:" + std::to_string(doors[name]->local_endpoint().port()));
+    }
+    void list(const std::string& name, const std::string& address, bool draining = false,
+              const std::string& version = "v1") {
+        casting->apply({0, {name, "s", address, "z", version, 2, draining, 0}, false}, now());
+    }
+
+    // Sends bytes on a new connection and reads `answers` answers; tells whether it then ends.
+    std::string client(const std::string& bytes, int answers, bool toEnd = false) {
+        std::string seen;
+        bool done = false;
+        start(io, "client", talk(bytes, answers, toEnd, seen, done));
+        until([&] { return done; });
+        return seen;
+    }
+    template <typename Done>
+    void until(Done done) {
+        for (int turns = 0; !done(); ++turns) {
+            CPPUNIT_ASSERT_MESSAGE("nothing happens any more", io.run_one_for(std::chrono::seconds(8)) > 0);
+            CPPUNIT_ASSERT(turns < 100'000);
+        }
+    }
+    void settle() {
+        while (io.poll() > 0) {
+        }
+    }
+    static std::string get(const std::string& id, const std::string& path = "/read/1",
+                           const std::string& more = "") {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 4000\r\n" +
+               more + "\r\n";
+    }
+    static std::string post(const std::string& id, const std::string& body, const std::string& more = "") {
+        return "POST /write/1?x=1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+               "\r\nX-Deadline-Ms: 4000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + more +
+               "\r\n" + body;
+    }
+
+    asio::io_context io{1};
+    playbill::Boot boot;
+    std::unique_ptr<casting::Casting> casting;
+    std::unique_ptr<foyer::Upstream> upstream;
+    std::unique_ptr<foyer::Front> front;
+    std::unique_ptr<tcp::acceptor> clients;
+    std::map<std::string, std::unique_ptr<tcp::acceptor>> doors;
+    std::map<std::string, std::deque<Act>> scripts;
+    std::vector<std::string> arrivals;  // what pods got, in order
+    std::map<std::string, int> connections;
+
+    std::string podsSaw() const {
+        std::string all;
+        for (const auto& line : arrivals) all += "  " + line + "\n";
+        return all;
+    }
+
+  private:
+    Task<> serve(std::string name) {
+        auto& door = *doors[name];
+        while (door.is_open()) {
+            Code code;
+            auto socket = co_await door.async_accept(told(code));
+            if (code) co_return;
+            ++connections[name];
+            start(io, "pod connection", hear(name, std::move(socket)));
+        }
+    }
+    Task<> hear(std::string name, tcp::socket socket) {
+        beast::flat_buffer buffer;
+        for (;;) {
+            http::request<http::string_body> request;
+            Code code;
+            co_await http::async_read(socket, buffer, request, told(code));
+            if (code) {
+                if (code != http::error::end_of_stream)
+                    arrivals.push_back(name + ": a connection ended in the middle");
+                co_return;
+            }
+            std::string line =
+                name + ": " + std::string(request.method_string()) + " " + std::string(request.target());
+            for (const auto& field : request) {
+                const std::string key(field.name_string());
+                line +=
+                    " [" + key + ": " + (key == "X-Deadline-Ms" ? "left" : std::string(field.value())) + "]";
+            }
+            if (!request.body().empty())
+                line +=
+                    " body " + (request.body().size() > 40 ? std::to_string(request.body().size()) + " bytes"
+                                                           : request.body());
+            arrivals.push_back(line);
+            auto& script = scripts[name];
+            if (script.empty()) co_return;
+            auto act = script.front();
+            script.pop_front();
+            const std::string id(request["X-Attempt-Id"]);
+            for (auto at = act.bytes.find("{id}"); at != act.bytes.npos; at = act.bytes.find("{id}"))
+                act.bytes.replace(at, 4, id);
+            if (!act.bytes.empty()) co_await asio::async_write(socket, asio::buffer(act.bytes), told(code));
+            if (act.after == Act::reset) socket.set_option(tcp::socket::linger(true, 0));
+            if (act.after == Act::close || act.after == Act::reset) co_return;
+            if (act.after == Act::hold) {
+                char byte;
+                co_await socket.async_read_some(asio::buffer(&byte, 1), told(code));
+                co_return;
+            }
+        }
+    }
+    Task<> talk(std::string bytes, int answers, bool toEnd, std::string& seen, bool& done) {
+        tcp::socket socket(io);
+        Code code;
+        co_await socket.async_connect(clients->local_endpoint(), told(code));
+        co_await asio::async_write(socket, asio::buffer(bytes), told(code));
+        beast::flat_buffer buffer;
+        for (int answer = 0; answer < answers; ++answer) {
+            http::response<http::string_body> response;
+            co_await http::async_read(socket, buffer, response, told(code));
+            if (code) {
+                seen += "  ended: " +
+                        std::string(code == http::error::end_of_stream     ? "closed"
+                                    : code == http::error::partial_message ? "cut short"
+                                                                           : code.message()) +
+                        "\n";
+                done = true;
+                co_return;
+            }
+            seen += "  " + std::to_string(response.result_int());
+            for (const auto& field : response)
+                seen += " [" + std::string(field.name_string()) + ": " + std::string(field.value()) + "]";
+            auto body = response.body();
+            if (!body.empty() && body.back() == '\n') body.pop_back();
+            seen += " " + (body.size() > 60 ? std::to_string(body.size()) + " bytes" : body) + "\n";
+        }
+        if (toEnd) {
+            char byte;
+            co_await socket.async_read_some(asio::buffer(&byte, 1), told(code));
+            seen += code ? "  then it ends\n" : "  then more comes\n";
+        }
+        done = true;
+    }
+};
+
+}  // namespace stage
