Casting, verdict and promptbook: tests; no 'on' while one route may be worse

Cause: the transcript of judgements showed 'on' where one route of three had 6 failures in 11; ranks of all routes hardly moved.

Change: a route that is worse with a chance of 0.7 holds a stage, one that is surely worse (0.99) still takes it back.

--- a/src/verdict/rollout.cpp
+++ b/src/verdict/rollout.cpp
@@ -9,7 +9,8 @@
 
 constexpr double leastOutcomes = 20;  // of each side, for ranks
 constexpr double leastFailing = 6;    // of the new side, where failures alone speak
-constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certain = 0.99;
+constexpr double onBar = 0.4, backBar = 0.35, sure = 0.95, certainly = 0.99;
+constexpr double perhaps = 0.7;      // that a route is worse: enough against going on
 constexpr double failMargin = 0.08;  // failures that a version may have more than the earlier one
 constexpr double lateMargin = 0.25;  // answers far too late, likewise
 constexpr int draws = 200;
@@ -24,7 +25,7 @@
 
 // Exception to ranks: failures of a part of the requests move few ranks, so the same test is made on ranks
 // coarsened to two as well.
-bool worse(const Counts& fresh, const Counts& earlier, std::mt19937& chance) {
+bool worse(const Counts& fresh, const Counts& earlier, std::mt19937& chance, double certain = certainly) {
     const double n = fresh.all(), m = earlier.all();
     const auto more = [&](double x, double y, double margin, double least) {
         return n >= least && m >= leastOutcomes && x >= 3 &&
@@ -69,17 +70,18 @@
 Judgement judge(const Totals& sums, std::mt19937& chance) {
     Judgement judged;
     std::array<Counts, 2> all;
-    bool back = false;
+    bool back = false, doubt = false;
     for (const auto& [route, sides] : sums) {
         for (std::size_t side = 0; side < 2; ++side) add(all[side], sides[side]);
         back = back || worse(sides[0], sides[1], chance);
+        doubt = doubt || worse(sides[0], sides[1], chance, perhaps);
     }
     judged.fresh = all[0].all(), judged.earlier = all[1].all(), judged.bad = all[0].bad;
     if (judged.fresh > 0 && judged.earlier > 0)
         judged.bounds = rankTest(binsOf(all[0]), binsOf(all[1]), onBar, draws, chance);
     if (back || worse(all[0], all[1], chance)) judged.verdict = Verdict::back;
     else if (judged.fresh >= leastOutcomes && judged.earlier >= leastOutcomes)
-        judged.verdict = judged.bounds.lowerChance > sure ? Verdict::on : Verdict::hold;
+        judged.verdict = judged.bounds.lowerChance > sure && !doubt ? Verdict::on : Verdict::hold;
     return judged;
 }
 
--- /dev/null
+++ b/tests/gateway/casting.cpp
@@ -0,0 +1,246 @@
+// Casting without sockets: what is sent where, what is never sent again, how much of anything there may be.
+// Times are made up; chance is seeded.
+#include "casting/casting.hpp"
+
+#include "transcript.hpp"
+
+using namespace lichenlanding;
+using casting::Casting, casting::End, casting::Try;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+
+std::shared_ptr<const playbill::Playbill> bill(const std::string& version, const std::string& service = "s") {
+    std::string text = R"({"config_version":")" + version + R"(","resources":[)";
+    for (const auto* kind : {"idempotent", "non_idempotent"})
+        text += std::string(R"({"resource_type":"route_table","metadata":{"name":")") + kind +
+                R"("},"spec":{"hostname":"h","path_prefix":"/)" + kind + R"(/","route_class":")" + kind +
+                R"(","timeout":"2s","target_latency":"600ms","service_name":")" + service +
+                R"(","max_attempts":3}},)";
+    text += R"({"resource_type":"service_table","metadata":{"name":"s"},"spec":{"max_connections":100}},)"
+            R"({"resource_type":"service_table","metadata":{"name":"t"},"spec":{}}]})";
+    return std::make_shared<playbill::Playbill>(playbill::Playbill::read(text));
+}
+
+struct Room {
+    explicit Room(std::size_t pods = 4, double slack = 20) {
+        boot.zone = "z", boot.budgetSlack = slack, boot.budgetRatio = 0.2, boot.exposureShare = 0.1;
+        room = std::make_unique<Casting>(boot, 7);
+        room->take(bill("00000001"));
+        for (std::size_t at = 0; at < pods; ++at) list("p" + std::to_string(at));
+    }
+    void list(const std::string& id, const std::string& version = "v1", bool draining = false,
+              const std::string& zone = "z") {
+        room->apply({0, {id, "s", "a", zone, version, 3, draining, 0}, false}, now);
+    }
+    Try begin(const char* kind) {
+        Try request;
+        CPPUNIT_ASSERT(room->begin(request, "h", std::string("/") + kind + "/1", now, 2 * second));
+        return request;
+    }
+    // Sends once; the pod's id, or "-".
+    std::string send(Try& request) {
+        last = room->next(request, now);
+        return last ? last->listed.id : "-";
+    }
+    void end(Try& request, End end, int status = 200, Nanos took = 100 * ms) {
+        room->ended(request, *last, end, status, took, now);
+    }
+    void rollout(const std::string& state, int stage = 0, std::int64_t number = 1) {
+        cues::Rollout order;
+        order.service = "s", order.target = "v2", order.state = state, order.stage = stage,
+        order.number = number;
+        room->rollouts({order}, now);
+    }
+    playbill::Boot boot;
+    std::unique_ptr<Casting> room;
+    std::shared_ptr<casting::Actor> last;
+    Nanos now = 100 * second;
+};
+
+const char* const reading = "idempotent";
+const char* const writing = "non_idempotent";
+
+}  // namespace
+
+class CastingTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CastingTest);
+    CPPUNIT_TEST(sendsAgain);
+    CPPUNIT_TEST(budget);
+    CPPUNIT_TEST(exposure);
+    CPPUNIT_TEST(versions);
+    CPPUNIT_TEST(leaving);
+    CPPUNIT_TEST(neverBack);
+    CPPUNIT_TEST(silence);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    // Every end of a first send, for both kinds: does it go again, and what is said if not.
+    void sendsAgain() {
+        std::string seen;
+        for (const auto* kind : {reading, writing})
+            for (const auto& [name, end] :
+                 std::vector<std::pair<const char*, End>>{{"turned", End::turned},
+                                                          {"elsewhere", End::elsewhere},
+                                                          {"unreached", End::unreached},
+                                                          {"cut", End::cut},
+                                                          {"spoilt", End::spoilt},
+                                                          {"overdue", End::overdue}}) {
+                Room room;
+                auto request = room.begin(kind);
+                const auto first = room.send(request);
+                const auto beside = room.room->next(request, room.now) != nullptr;  // while it is out
+                if (beside) --request.out, request.sent.pop_back(), --request.arrivals;
+                room.end(request, end);
+                const auto second_ = room.send(request);
+                CPPUNIT_ASSERT(second_ != first);
+                if (second_ != "-") room.end(request, end);
+                const auto refusal = room.room->refusal(request, end, room.now);
+                seen += std::string(kind) + " " + name + ": beside " + (beside ? "yes" : "no") + ", again " +
+                        (second_ == "-" ? "no" : "yes") + ", then " + std::to_string(refusal.status) +
+                        (refusal.retryAfter > 0 ? " come back" : "") + "\n";
+            }
+        approve("casting-sends-again", seen);
+    }
+
+    // BUDGET: arrivals past the first of a request stay within the share of the fleet's, window by window.
+    void budget() {
+        Room room(8, 24);
+        room.room->company(4);
+        int further = 0;
+        for (int second_ = 0; second_ < 30; ++second_) {
+            const bool storm = second_ >= 10 && second_ < 20;
+            const int before = further;
+            for (int at = 0; at < 20; ++at) {
+                room.now += second / 20;
+                auto request = room.begin(reading);
+                for (auto sent = room.send(request); sent != "-"; sent = room.send(request)) {
+                    if (request.arrivals > 1) ++further;
+                    room.end(request, storm ? End::turned : End::answered);
+                    if (!storm) break;
+                }
+            }
+            if (!storm) CPPUNIT_ASSERT_EQUAL(before, further);
+        }
+        // 0.2 of 200 requests and a quarter of 24: 46 in ten seconds are this foyer's part.
+        CPPUNIT_ASSERT(further > 20);
+        CPPUNIT_ASSERT(further <= 46);
+    }
+
+    // EXPOSURE: of all requests no more than the share reaches a version on trial, and none once it fails
+    // here.
+    void exposure() {
+        Room room;
+        for (int at = 0; at < 4; ++at) room.list("n" + std::to_string(at), "v2");
+        room.rollout("in_progress");
+        room.now += 3 * second;
+        int fresh = 0;
+        for (int at = 0; at < 1000; ++at) {
+            room.now += 10 * ms;
+            auto request = room.begin(reading);
+            fresh += room.send(request)[0] == 'n';
+            room.end(request, End::answered);
+        }
+        CPPUNIT_ASSERT(fresh >= 60);
+        CPPUNIT_ASSERT(fresh <= 100);
+        const auto counted = room.room->totals("s", "v2").at(reading);
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(fresh), counted[0].all());
+        CPPUNIT_ASSERT_EQUAL(1000u, counted[0].all() + counted[1].all());
+        fresh = 0;
+        for (int at = 0; at < 2000; ++at) {
+            room.now += 10 * ms;
+            auto request = room.begin(writing);
+            const bool its = room.send(request)[0] == 'n';
+            fresh += its;
+            room.end(request, its ? End::cut : End::answered);
+        }
+        CPPUNIT_ASSERT(fresh >= 4);
+        CPPUNIT_ASSERT(fresh < 60);  // until 0.3 of those it has seen are bad
+    }
+
+    // ROUTE: which versions take requests, by the state of the order.
+    void versions() {
+        std::string seen;
+        const auto see = [&](const std::string& what, Room& room) {
+            std::map<std::string, int> where;
+            for (int at = 0; at < 200; ++at) {
+                auto request = room.begin(reading);
+                const auto sent = room.send(request);
+                ++where[sent == "-" ? sent : room.last->listed.version];
+                if (sent != "-") room.end(request, End::answered);
+            }
+            seen += what + ":";
+            for (const auto& [version, count] : where) seen += " " + version + " " + std::to_string(count);
+            seen += "\n";
+        };
+        Room room;
+        room.list("n", "v2"), room.list("m", "v2");
+        see("nobody ordered v2", room);
+        room.rollout("in_progress");
+        see("in progress", room);
+        room.rollout("in_progress", 1, 2);
+        see("all traffic", room);
+        room.rollout("completed", 1, 3);
+        see("completed", room);
+        room.rollout("rolled_back", 0, 4);
+        see("rolled back", room);
+        Room late(0);  // a foyer that starts while both are there
+        late.rollout("in_progress");
+        late.list("n", "v2"), late.list("p", "v1");
+        see("started in the middle", late);
+        Room known(0);  // the list came before the order was known
+        known.list("n", "v2"), known.list("p", "v1");
+        known.rollout("in_progress");
+        see("order known late", known);
+        approve("casting-versions", seen);
+    }
+
+    // DRAIN and lives: no send to a pod that leaves, that is gone, or that is not who it was.
+    void leaving() {
+        Room room(1);
+        auto request = room.begin(reading);
+        CPPUNIT_ASSERT_EQUAL(std::string("p0"), room.send(request));
+        room.list("p0", "v1", true);
+        auto other = room.begin(reading);
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), room.send(other));
+        room.list("p1");
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), room.send(other));
+        room.end(other, End::elsewhere);
+        auto third = room.begin(reading);
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), room.send(third));
+    }
+
+    // CONFIG: a foyer that wakes up, or hears an older prompter, never goes back.
+    void neverBack() {
+        Room room;
+        room.room->take(bill("00000009", "t"));
+        room.room->take(bill("00000008"));
+        auto request = room.begin(reading);
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), request.service);
+        CPPUNIT_ASSERT_EQUAL(9u, room.room->playbill()->version);
+    }
+
+    // A pod that owes answers for long gets no more while others can; when it answers, it does again.
+    void silence() {
+        Room room(2);
+        auto stuck = room.begin(writing);
+        const auto mute = room.send(stuck);
+        const auto owing = room.last;
+        room.now += second;
+        for (int at = 0; at < 50; ++at) {
+            auto request = room.begin(reading);
+            CPPUNIT_ASSERT(room.send(request) != mute);
+            room.end(request, End::answered);
+        }
+        room.room->ended(stuck, *owing, End::answered, 200, second, room.now);
+        bool again = false;
+        for (int at = 0; at < 50; ++at) {
+            auto request = room.begin(reading);
+            again = again || room.send(request) == mute;
+            room.end(request, End::answered);
+        }
+        CPPUNIT_ASSERT(again);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CastingTest);
--- /dev/null
+++ b/tests/gateway/promptbook.cpp
@@ -0,0 +1,103 @@
+// The prompter's disk: what is written is there again; damage and fullness are told and never guessed over.
+#include "promptbook/promptbook.hpp"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+
+#include "transcript.hpp"
+
+using namespace lichenlanding;
+using promptbook::DiskError, promptbook::Promptbook;
+
+class PromptbookTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PromptbookTest);
+    CPPUNIT_TEST(again);
+    CPPUNIT_TEST(damaged);
+    CPPUNIT_TEST(full);
+    CPPUNIT_TEST(bounded);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::string folder;
+
+    static std::map<std::string, reg::Cell> cell(const std::string& value, std::uint64_t round) {
+        std::map<std::string, reg::Cell> cells;
+        cells["configuration"] = {{round, 7}, {round, 7}, value};
+        return cells;
+    }
+
+  public:
+    void setUp() override {
+        auto made = (std::filesystem::temp_directory_path() / "promptbook-XXXXXX").string();
+        CPPUNIT_ASSERT(mkdtemp(made.data()));
+        folder = made;
+    }
+    void tearDown() override { std::filesystem::remove_all(folder); }
+
+    void again() {
+        {
+            Promptbook book(folder, 8 << 20);
+            book.write(cell("first", 1), {{"members", "a,b,c"}});
+            book.write(cell(std::string(200'000, 'x'), 2), {});
+        }
+        Promptbook book(folder, 8 << 20);
+        CPPUNIT_ASSERT_EQUAL(std::string("a,b,c"), book.note("members"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), book.note("none"));
+        CPPUNIT_ASSERT(book.cells() == cell(std::string(200'000, 'x'), 2));
+    }
+
+    // A byte of the value changed on disk: the checksum tells, whoever opens it.
+    void damaged() {
+        {
+            Promptbook book(folder, 8 << 20);
+            book.write(cell("the words that are looked for", 1), {});
+        }
+        std::fstream file(folder + "/data.mdb", std::ios::in | std::ios::out | std::ios::binary);
+        std::stringstream bytes;
+        bytes << file.rdbuf();
+        const auto text = bytes.str();
+        int changed = 0;
+        for (auto at = text.find("the words that"); at != text.npos;
+             at = text.find("the words that", at + 1), ++changed) {
+            file.clear();
+            file.seekp(static_cast<std::streamoff>(at));
+            file.put('T');
+        }
+        file.close();
+        CPPUNIT_ASSERT(changed > 0);
+        Promptbook book(folder, 8 << 20);
+        CPPUNIT_ASSERT_THROW(book.cells(), DiskError);
+    }
+
+    // The disk takes no more: the write is refused whole, what was there stays, and it goes on when there is
+    // room.
+    void full() {
+        auto book = std::make_unique<Promptbook>(folder, 8 << 20);
+        book->write(cell("kept", 1), {});
+        rlimit before{};
+        getrlimit(RLIMIT_FSIZE, &before);
+        std::signal(SIGXFSZ, SIG_IGN);
+        const rlimit little{static_cast<rlim_t>(std::filesystem::file_size(folder + "/data.mdb")),
+                            before.rlim_max};
+        setrlimit(RLIMIT_FSIZE, &little);
+        CPPUNIT_ASSERT_THROW(book->write(cell(std::string(300'000, 'y'), 2), {}), DiskError);
+        setrlimit(RLIMIT_FSIZE, &before);
+        book = std::make_unique<Promptbook>(folder, 8 << 20);
+        CPPUNIT_ASSERT(book->cells() == cell("kept", 1));
+        book->write(cell(std::string(300'000, 'y'), 2), {});
+        CPPUNIT_ASSERT(book->cells() == cell(std::string(300'000, 'y'), 2));
+    }
+
+    // Three hundred configurations leave no more on disk than a few of them.
+    void bounded() {
+        Promptbook book(folder, 8 << 20);
+        for (int at = 1; at <= 300; ++at)
+            book.write(
+                cell(std::string(60'000, static_cast<char>('a' + at % 26)), static_cast<std::uint64_t>(at)),
+                {});
+        CPPUNIT_ASSERT(std::filesystem::file_size(folder + "/data.mdb") < 600'000);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptbookTest);
--- /dev/null
+++ b/tests/gateway/verdict.cpp
@@ -0,0 +1,118 @@
+// Rollouts judged: totals that come twice, late or from another life; on, back and hold.
+#include "company/company.hpp"
+#include "cues/cues.hpp"
+#include "transcript.hpp"
+#include "troupe/troupe.hpp"
+#include "verdict/rollout.hpp"
+
+using namespace lichenlanding;
+using verdict::Counts, verdict::Totals;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000, target = 600 * ms;
+
+Counts counts(int good, Nanos took, int bad = 0) {
+    Counts made;
+    for (int at = 0; at < good; ++at) made.count(took + (at % 7) * 10 * ms, target, false);
+    for (int at = 0; at < bad; ++at) made.count(took, target, true);
+    return made;
+}
+
+}  // namespace
+
+class VerdictTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(VerdictTest);
+    CPPUNIT_TEST(totalsOnce);
+    CPPUNIT_TEST(judgements);
+    CPPUNIT_TEST(voterReplaced);
+    CPPUNIT_TEST(listMonotone);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void totalsOnce() {
+        verdict::Pool pool;
+        const auto all = [&] { return pool.sum()["r"][0].all(); };
+        pool.take("a", 1, 1, {{"r", {counts(5, 100 * ms), {}}}});
+        pool.take("a", 1, 1, {{"r", {counts(5, 100 * ms), {}}}});  // twice
+        CPPUNIT_ASSERT_EQUAL(5u, all());
+        pool.take("a", 1, 3, {{"r", {counts(9, 100 * ms), {}}}});
+        pool.take("a", 1, 2, {{"r", {counts(7, 100 * ms), {}}}});  // late
+        CPPUNIT_ASSERT_EQUAL(9u, all());
+        pool.take("a", 2, 1, {{"r", {counts(2, 100 * ms), {}}}});  // its next life counts beside the first
+        pool.take("b", 1, 1, {{"r", {counts(4, 100 * ms), {}}}});
+        CPPUNIT_ASSERT_EQUAL(15u, all());
+        const auto back = cues::readTotals(cues::write(pool.sum()));
+        CPPUNIT_ASSERT_EQUAL(15u, back.at("r")[0].all());
+    }
+
+    void judgements() {
+        std::string seen;
+        std::mt19937 chance(3);
+        const auto judge = [&](const std::string& what, Counts fresh, Counts earlier, Totals more = {}) {
+            more["r"] = {fresh, earlier};
+            const auto judged = verdict::judge(more, chance);
+            const char* names[] = {"none", "on", "hold", "back"};
+            seen += what + ": " + names[static_cast<int>(judged.verdict)] + ", " +
+                    std::to_string(judged.fresh) + " against " + std::to_string(judged.earlier) + "\n";
+        };
+        judge("nothing yet", {}, {});
+        judge("too few", counts(12, 150 * ms), counts(300, 150 * ms));
+        judge("alike", counts(120, 150 * ms), counts(900, 150 * ms));
+        judge("quicker", counts(80, 90 * ms), counts(900, 150 * ms));
+        judge("a little slower", counts(60, 175 * ms), counts(900, 150 * ms));
+        judge("eight times slower", counts(30, 1200 * ms), counts(900, 150 * ms));
+        judge("half of it fails", counts(10, 150 * ms, 10), counts(900, 150 * ms));
+        judge("a few fail, as before", counts(196, 150 * ms, 4), counts(980, 150 * ms, 20));
+        judge("one route of three fails", counts(120, 150 * ms), counts(900, 150 * ms),
+              {{"q", {counts(5, 150 * ms, 6), counts(200, 150 * ms)}},
+               {"p", {counts(60, 150 * ms), counts(400, 150 * ms)}}});
+        judge("two failures alone", counts(4, 150 * ms, 2), counts(900, 150 * ms));
+        approve("verdict-judgements", seen);
+    }
+
+    // A voter that is killed between a stage's counts and its vote: the others stay, one takes its place.
+    void voterReplaced() {
+        std::vector<std::string> names;
+        for (int at = 0; at < 12; ++at) names.push_back("edge-" + std::to_string(at));
+        const auto before = company::chosen(names, "s\nv2", 3);
+        std::erase(names, before[1]);
+        const auto after = company::chosen(names, "s\nv2", 3);
+        CPPUNIT_ASSERT_EQUAL(before[0], after[0]);
+        CPPUNIT_ASSERT_EQUAL(before[2], after[1]);
+        CPPUNIT_ASSERT(std::find(before.begin(), before.end(), after[2]) == before.end());
+        std::map<std::string, int> load;
+        for (int at = 0; at < 3000; ++at)
+            for (const auto& name : company::chosen(names, "s\nv" + std::to_string(at), 3)) ++load[name];
+        for (const auto& [name, count] : load) CPPUNIT_ASSERT(count > 700 && count < 950);  // 818 each
+    }
+
+    // Lists that come late or by another way bring nobody back; the differences mend any view.
+    void listMonotone() {
+        troupe::Troupe ahead, behind;
+        const auto member = [](const char* id, bool draining) {
+            return troupe::Member{id, "s", "a", "z", "v1", 2, draining, 0};
+        };
+        const auto follow = [](troupe::Troupe& view, const std::vector<troupe::Member>& listed) {
+            std::string seen;
+            for (const auto& event : view.towards(listed, 0)) {
+                seen += (event.gone ? "-" : event.member.draining ? "~" : "+") + event.member.id;
+                view.apply(event);
+            }
+            return seen;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("+a+b"), follow(ahead, {member("a", false), member("b", false)}));
+        CPPUNIT_ASSERT_EQUAL(std::string("~a"), follow(ahead, {member("a", true), member("b", false)}));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             follow(ahead, {member("a", false), member("b", false)}));  // an older list
+        CPPUNIT_ASSERT_EQUAL(std::string("-a+c"), [&] {
+            auto seen = follow(ahead, {member("b", false), member("c", false)});
+            return seen == "+c-a" ? std::string("-a+c") : seen;
+        }());
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             follow(ahead, {member("a", false), member("b", false), member("c", false)}));
+        CPPUNIT_ASSERT_EQUAL(std::string("+b+c"), follow(behind, {member("b", false), member("c", false)}));
+        CPPUNIT_ASSERT_EQUAL(ahead.members().size(), behind.members().size());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(VerdictTest);
