Grown: list paced within the platform's rate, bytes squeezed, values sent once, roster in one word

Cause, by logs of the grown deployments: (1) a list of 7 to 13 pages twice a second is over the 19 calls a second that the platform takes; one 429 threw the whole reading away, and for 15 s no list was whole: DRAIN 48 times. (2) 700 to 2,300 routes are 0.2 to 0.6 MB, sent whole to five disks, back in each reply, and to 88 foyers on 2 Mbit/s: valid configurations went unacknowledged for 8 s. (3) each foyer's greeting sent a list of 88 names to 88 foyers from five prompters.

Change: a refused page is asked again when there is room, readings follow at the pace that the rate allows; configurations are kept and sent squeezed (zlib); a copy does not send back a value that the asker holds; the roster goes out once for all that came in 400 ms.

--- a/src/cues/cues.cpp
+++ b/src/cues/cues.cpp
@@ -3,14 +3,14 @@
 #include "playbill/playbill.hpp"
 
 // Member and name of each, once.
-#define MEMBER_FIELDS(X)                                                                        \
-    X(id, "i")                                                                                  \
-    X(service, "s") X(address, "a") X(zone, "z") X(version, "v") X(slots, "k") X(draining, "d") \
-        X(warmup, "w")
-#define ROLLOUT_FIELDS(X)                                                                         \
-    X(service, "service")                                                                         \
-    X(target, "target") X(state, "state") X(stage, "stage") X(number, "number") X(began, "began") \
-        X(term, "term") X(moved, "moved")
+#define MEMBER_FIELDS(X) \
+    X(id, "i")           \
+    X(service, "s") X(address, "a") X(zone, "z") X(version, "v") X(slots, "k") X(draining, "d") X(warmup, "w")
+#define ROLLOUT_FIELDS(X)                                                                     \
+    X(service, "service")                                                                     \
+    X(target, "target")                                                                       \
+    X(state, "state") X(stage, "stage") X(number, "number") X(began, "began") X(term, "term") \
+        X(moved, "moved")
 
 namespace lichenlanding::cues {
 
@@ -44,6 +44,15 @@
     return member;
 }
 
+Json writeText(const std::string& bytes) {
+    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string readText(const Json& from) {
+    const auto& bytes = from.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
 Json write(const reg::Ballot& ballot) { return Json::array({ballot.round, ballot.writer}); }
 
 reg::Ballot readBallot(const Json& from) {
@@ -51,11 +60,11 @@
 }
 
 Json write(const reg::Cell& cell) {
-    return Json::array({write(cell.promised), write(cell.accepted), cell.value});
+    return Json::array({write(cell.promised), write(cell.accepted), writeText(cell.value)});
 }
 
 reg::Cell readCell(const Json& from) {
-    return {readBallot(from.at(0)), readBallot(from.at(1)), from.at(2).get<std::string>()};
+    return {readBallot(from.at(0)), readBallot(from.at(1)), readText(from.at(2))};
 }
 
 Json write(const verdict::Totals& totals) {
--- a/src/cues/cues.hpp
+++ b/src/cues/cues.hpp
@@ -19,6 +19,10 @@
 // One entry of the platform's list.
 troupe::Member listed(const Json& entry);
 
+// Bytes that need not be text.
+Json writeText(const std::string& bytes);
+std::string readText(const Json& from);
+
 Json write(const reg::Ballot& ballot);
 reg::Ballot readBallot(const Json& from);
 Json write(const reg::Cell& cell);
--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -9,6 +9,7 @@
 #include "foyer/front.hpp"
 #include "wings/link.hpp"
 #include "wings/log.hpp"
+#include "wings/pack.hpp"
 
 namespace lichenlanding::foyer {
 namespace {
@@ -72,7 +73,8 @@
             if (version > newest) newest = version;
             ask(link);
         } else if (kind == "configuration") {
-            take(message.at("body").get_ref<const std::string&>());
+            const auto& bytes = message.at("squeezed").get_binary();
+            take(unsqueeze({reinterpret_cast<const char*>(bytes.data()), bytes.size()}));
             acknowledge();
         } else if (kind == "pods") {
             pods(message);
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -20,12 +20,13 @@
 const reg::Change asItIs = [](const std::string& value) { return value; };
 
 Json write(const reg::Request& request) {
-    return {static_cast<int>(request.kind), request.key, cues::write(request.ballot), request.value};
+    return {static_cast<int>(request.kind), request.key, cues::write(request.ballot),
+            cues::writeText(request.value), cues::write(request.held)};
 }
 
 reg::Request readRequest(const Json& from) {
     return {static_cast<reg::Request::Kind>(from.at(0).get<int>()), from.at(1).get<std::string>(),
-            cues::readBallot(from.at(2)), from.at(3).get<std::string>()};
+            cues::readBallot(from.at(2)), cues::readText(from.at(3)), cues::readBallot(from.at(4))};
 }
 
 }  // namespace
@@ -215,8 +216,10 @@
             continue;
         }
         const auto id = ++runs_;
-        auto pending =
-            std::make_shared<Pending>(reg::Run(key, size_, number(me_), above_[key], change, look), io_);
+        auto pending = std::make_shared<Pending>(
+            reg::Run(key, size_, number(me_), above_[key], change, look,
+                     reg::Cell{known(key).ballot, known(key).ballot, known(key).value}),
+            io_);
         pending_[id] = pending;
         auto& run = pending->run;
         const Nanos until = std::min(end, now() + runWithin);
@@ -249,8 +252,10 @@
             const auto value = run.value();
             const auto ballot = run.ballot();
             if (ballot > known(key).ballot) {
-                const auto packed = Link::pack(
-                    Json{{"t", "learn"}, {"key", key}, {"ballot", cues::write(ballot)}, {"value", value}});
+                const auto packed = Link::pack(Json{{"t", "learn"},
+                                                    {"key", key},
+                                                    {"ballot", cues::write(ballot)},
+                                                    {"value", cues::writeText(value)}});
                 for (const auto& [_, link] : links_) link->send(packed);
             }
             learn(key, ballot, value);
@@ -281,6 +286,7 @@
                                 {"step", step},
                                 {"blank", reply.blank},
                                 {"taken", reply.taken},
+                                {"spared", reply.spared},
                                 {"cell", cues::write(reply.cell)}});
         };
         enqueue(std::move(errand));
@@ -288,12 +294,12 @@
         const auto at = pending_.find(message.at("id").get<std::uint64_t>());
         if (at == pending_.end()) return true;
         const reg::Reply reply{message.at("blank").get<bool>(), message.at("taken").get<bool>(),
-                               cues::readCell(message.at("cell"))};
+                               cues::readCell(message.at("cell")), message.at("spared").get<bool>()};
         const auto step = static_cast<reg::Run::Step>(message.at("step").get<int>());
         if (at->second->run.on(number(link.peer), step, reply)) at->second->bell.ring();
     } else if (kind == "learn") {
         learn(message.at("key").get<std::string>(), cues::readBallot(message.at("ballot")),
-              message.at("value").get<std::string>());
+              cues::readText(message.at("value")));
     } else if (kind == "known") {
         for (const auto& [key, ballot] : message.at("ballots").items()) {
             auto& rumour = rumoured_[key];
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -12,6 +12,7 @@
 #include "text.hpp"
 #include "troupe/troupe.hpp"
 #include "wings/log.hpp"
+#include "wings/pack.hpp"
 
 namespace lichenlanding::prompter {
 namespace {
@@ -30,6 +31,8 @@
 constexpr double watchPart = 0.6;  // of an order's term that a version is watched with its share at least
 constexpr std::int64_t moveMillis = 2500;  // with all traffic, before the old pods are let go
 constexpr Nanos tellKnownEvery = 500 * ms;
+constexpr Nanos rosterAfter = 400 * ms;
+constexpr double listPart = 0.7;  // of the platform's calls a second that the list may take
 constexpr std::uint64_t bodyAtMost = 96 << 20;
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -89,7 +92,7 @@
         } else if (kind == "want") {
             const auto& known = keeper.known(configurationKey);
             if (!known.value.empty())
-                link.send(Json{{"t", "configuration"}, {"body", known.value.substr(8)}});
+                link.send(Json{{"t", "configuration"}, {"squeezed", Json::binary_t(bytesOf(known.value))}});
         } else if (kind == "ack") {
             if (const auto at = foyers.find(link.peer); at != foyers.end())
                 message.at("configuration").get_to(at->second.applied);
@@ -141,7 +144,10 @@
         if (!known.value.empty()) link.send(Json{{"t", "cue"}, {"configuration", versionOf(known.value)}});
     }
 
-    // A register's value is the version's eight digits and the body as it was sent.
+    // A register's value is the version's eight digits and the body as it was sent, squeezed.
+    static std::vector<std::uint8_t> bytesOf(const std::string& value) {
+        return {value.begin() + 8, value.end()};
+    }
     static std::uint32_t versionOf(const std::string& value) {
         std::uint32_t version = 0;
         std::from_chars(value.data(), value.data() + std::min<std::size_t>(value.size(), 8), version, 16);
@@ -160,7 +166,15 @@
         return {{"t", "rollouts"}, {"number", number}, {"list", text}};
     }
 
+    // One word for all that came and went of late: at a start a whole fleet says hello at once.
     void roster() {
+        if (std::exchange(rosterDue, true)) return;
+        start(io, "roster", tellRoster());
+    }
+
+    Task<> tellRoster() {
+        co_await sleep(rosterAfter);
+        rosterDue = false;
         Json names = Json::object();
         for (const auto& [name, foyer] : foyers) names[name] = foyer.address;
         const auto packed = Link::pack(Json{{"t", "roster"}, {"foyers", std::move(names)}});
@@ -216,6 +230,11 @@
         return company::chosen(all, duty, 1).front() == me();
     }
 
+    // Between two calls, if they are to stay within the platform's rate for all.
+    Nanos callGap() const {
+        return boot.listPerSecond > 0 ? static_cast<Nanos>(1e9 / (boot.listPerSecond * listPart)) : 0;
+    }
+
     Task<> poll() {
         auto stream = std::make_shared<beast::tcp_stream>(io);
         beast::flat_buffer buffer;
@@ -229,6 +248,7 @@
             std::vector<troupe::Member> members;
             std::string token;
             bool whole = false;
+            int calls = 0;
             try {
                 for (int page = 0; page < 1000; ++page) {
                     stream->expires_after(span(pollWithin));
@@ -246,17 +266,22 @@
                     co_await http::async_read(*stream, buffer, parser, asio::use_awaitable);
                     const auto& response = parser.get();
                     if (!response.keep_alive()) connected = false, stream->close();
-                    if (response.result_int() != 200) {
-                        log("list_refused",
-                            {{"step", "list"}, {"peer", boot.list}, {"status", response.result_int()}});
-                        break;
+                    ++calls;
+                    if (response.result_int() == 429) {  // the same page again, when there is room
+                        log("list_refused", {{"step", "list"}, {"peer", boot.list}, {"status", 429}});
+                        --page;
+                        co_await sleep(callGap() * 2);
+                        continue;
                     }
+                    if (response.result_int() != 200)
+                        throw std::runtime_error("status " + std::to_string(response.result_int()));
                     const auto body = Json::parse(response.body());
                     for (const auto& entry : body.at("instance_list")) members.push_back(cues::listed(entry));
                     const auto next = body.find("next_token");
                     whole = next == body.end() || next->is_null();
                     if (whole) break;
                     token = next->get<std::string>();
+                    co_await sleep(callGap() / 2);
                 }
             } catch (const std::exception& error) {
                 log("list_failed", {{"step", "list"}, {"peer", boot.list}, {"error", error.what()}});
@@ -265,7 +290,8 @@
                 connected = false, whole = false;
             }
             if (whole) took(members);
-            co_await sleep(std::max(started + (whole ? pollEvery : pollPause) - now(), 20 * ms));
+            const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * calls);
+            co_await sleep(std::max(started + every - now(), 20 * ms));
         }
     }
 
@@ -395,7 +421,7 @@
             const auto value = co_await keeper.read(configurationKey, answerWithin);
             if (!value) co_return later("register: no majority");
             if (value->empty()) co_return later("no configuration yet");
-            co_return respond(200, value->substr(8));
+            co_return respond(200, unsqueeze(std::string_view(*value).substr(8)));
         }
         if (call == "rollouts.begin") co_return co_await begin(request.body());
         if (call == "rollouts.read") {
@@ -413,7 +439,7 @@
     Task<Response> replace(const std::string& body) {
         std::string value;
         try {
-            value = playbill::versionText(playbill::Playbill::read(body).version) + body;
+            value = playbill::versionText(playbill::Playbill::read(body).version) + squeeze(body);
         } catch (const playbill::Refusal& refusal) {
             log("configuration_refused", {{"error", refusal.what()}});
             co_return respond(
@@ -537,7 +563,7 @@
     troupe::Troupe troupe;
     std::uint64_t listNumber = 0;
     const Nanos began = now();
-    bool listed = false, startedReading = false;
+    bool listed = false, startedReading = false, rosterDue = false;
 };
 
 }  // namespace
--- a/src/register/register.cpp
+++ b/src/register/register.cpp
@@ -29,23 +29,28 @@
         if (reply.taken) reply.cell = {request.ballot, request.ballot, request.value};
     }
     if (reply.taken && reply.cell != cell(request.key)) change = reply.cell;
+    // What the asker sent or holds is not sent back.
+    const bool its = request.kind == Request::Kind::accept || request.held == reply.cell.accepted;
+    if (its && request.held.round > 0) reply.spared = true, reply.cell.value.clear();
+    if (request.kind == Request::Kind::accept) reply.cell.value.clear();
     return reply;
 }
 
 Run::Run(std::string key, std::size_t members, std::uint32_t writer, std::uint64_t above, Change change,
-         bool lookFirst)
+         bool lookFirst, Cell held)
     : key_(std::move(key)),
       members_(members),
       writer_(writer),
       above_(above),
       change_(std::move(change)),
       step_(lookFirst ? Step::look : Step::prepare),
-      ballot_{above + 1, writer} {}
+      ballot_{above + 1, writer},
+      held_(std::move(held)) {}
 
 Request Run::request() const {
-    if (step_ == Step::look) return {Request::Kind::look, key_, {}, {}};
-    if (step_ == Step::prepare) return {Request::Kind::prepare, key_, ballot_, {}};
-    return {Request::Kind::accept, key_, ballot_, value_};
+    if (step_ == Step::look) return {Request::Kind::look, key_, {}, {}, held_.accepted};
+    if (step_ == Step::prepare) return {Request::Kind::prepare, key_, ballot_, {}, held_.accepted};
+    return {Request::Kind::accept, key_, ballot_, value_, {}};
 }
 
 void Run::move(Step step) {
@@ -54,7 +59,9 @@
     if (step == Step::prepare) ballot_ = {above_ + 1, writer_}, best_ = {};
 }
 
-bool Run::on(std::uint32_t member, Step answered, const Reply& reply) {
+bool Run::on(std::uint32_t member, Step answered, const Reply& told) {
+    auto reply = told;
+    if (reply.spared) reply.cell.value = held_.value;
     if (answered != step_ || step_ == Step::done || step_ == Step::lost) return false;
     if (reply.blank) return false;  // NoBlank: neither for nor against
     if (!heard_.insert(member).second) return false;
--- a/src/register/register.hpp
+++ b/src/register/register.hpp
@@ -39,6 +39,7 @@
     std::string key;
     Ballot ballot;
     std::string value;
+    Ballot held;  // of a value that the asker has: an equal one need not be told again
 };
 
 // The cell as it is after the request; `taken` is false where a higher promise stood against it. A blank copy
@@ -46,6 +47,7 @@
 struct Reply {
     bool blank = false, taken = false;
     Cell cell;
+    bool spared = false;  // the cell's value is the asker's own, and left out
 };
 
 // One disk's copy. The host asks what a request would change, has the disk sync it, and only then puts it and
@@ -82,8 +84,9 @@
   public:
     enum class Step : std::uint8_t { look, prepare, accept, done, lost };
 
+    // `held`: a value that the host knows with its ballot, if any, so that copies need not send it.
     Run(std::string key, std::size_t members, std::uint32_t writer, std::uint64_t above, Change change,
-        bool lookFirst);
+        bool lookFirst, Cell held = {});
 
     Step step() const { return step_; }
     Request request() const;
@@ -105,7 +108,7 @@
     Step step_;
     Ballot ballot_;
     std::string value_;
-    Cell best_;
+    Cell held_, best_;
     std::set<std::uint32_t> heard_, taken_;
     std::optional<Cell> agreed_;
     bool agree_ = true;
--- a/src/wings/link.cpp
+++ b/src/wings/link.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/websocket.hpp>
 
 #include "wings/log.hpp"
+#include "wings/pack.hpp"
 
 namespace lichenlanding::wings {
 namespace {
@@ -12,7 +13,7 @@
 constexpr Nanos silentAfter = 2100 * ms;  // three beats
 constexpr Nanos dialWithin = 900 * ms, pauseAtMost = 800 * ms;
 constexpr std::size_t messageAtMost = 80 << 20;
-const std::string beatBytes = "\xf6";  // CBOR null
+const std::string beatBytes = "p\xf6";  // CBOR null
 
 }  // namespace
 
@@ -31,7 +32,7 @@
 std::shared_ptr<const std::string> Link::pack(const Json& message) {
     std::string bytes;
     Json::to_cbor(message, bytes);
-    return std::make_shared<const std::string>(std::move(bytes));
+    return std::make_shared<const std::string>(squeeze(bytes));
 }
 
 void Link::send(const Json& message) { send(pack(message)); }
@@ -92,8 +93,12 @@
         co_await stream->ws.async_read(buffer, told(code));
         if (code) break;
         heard_ = now();
-        const auto* bytes = static_cast<const std::uint8_t*>(buffer.data().data());
-        const auto message = Json::from_cbor(bytes, bytes + buffer.size(), true, false);
+        Json message(Json::value_t::discarded);
+        try {
+            const std::string_view squeezed(static_cast<const char*>(buffer.data().data()), buffer.size());
+            message = Json::from_cbor(unsqueeze(squeezed), true, false);
+        } catch (const std::runtime_error&) {  // told below, as what cannot be read
+        }
         buffer.consume(buffer.size());
         if (message.is_discarded()) {
             log("link_spoilt", {{"peer", peer}, {"step", "read"}});
--- /dev/null
+++ b/src/wings/pack.hpp
@@ -0,0 +1,14 @@
+// Bytes that are much the same over and over, made small: configurations, lists of pods.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace lichenlanding::wings {
+
+// By zlib, quick rather than tight. Short bytes stay as they are.
+std::string squeeze(std::string_view bytes);
+// Throws std::runtime_error on bytes that squeeze() did not make, or of more than `most`.
+std::string unsqueeze(std::string_view squeezed, std::size_t most = 256 << 20);
+
+}  // namespace lichenlanding::wings
