--- a/src/command/gateway.cpp
+++ b/src/command/gateway.cpp
@@ -1,23 +1,115 @@
 // The gateway's command line: its two programs, and tools beside them. Exit status 0: done; 1: refused or
-// failed, with one line on standard error; 2: the words of the call are wrong.
+// failed, with a line on standard error for each mistake; 2: the words of the call are wrong.
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <fstream>
 #include <functional>
+#include <iostream>
+#include <sstream>
 
+#include "command/status.hpp"
 #include "foyer/foyer.hpp"
+#include "playbill/playbill.hpp"
+#include "promptbook/promptbook.hpp"
 #include "prompter/prompter.hpp"
+#include "wings/pack.hpp"
+
+namespace {
+
+using namespace lichenlanding;
+
+std::string contents(const std::string& path) {
+    std::stringstream bytes;
+    if (path == "-") {
+        bytes << std::cin.rdbuf();
+        return bytes.str();
+    }
+    std::ifstream file(path, std::ios::binary);
+    if (!file) throw std::runtime_error("cannot read " + path);
+    bytes << file.rdbuf();
+    return bytes.str();
+}
+
+std::string text(const reg::Ballot& ballot) {
+    return std::to_string(ballot.round) + "." + std::to_string(ballot.writer);
+}
+
+// A stopped prompter's book: opened as it is, each record's checksum looked at.
+void book(const std::string& folder, const std::string& what) {
+    if (!std::ifstream(folder + "/data.mdb")) throw std::runtime_error("no book in " + folder);
+    const promptbook::Promptbook opened(folder, std::size_t{1} << 30);
+    const auto cells = opened.cells();
+    if (what == "check") {
+        std::printf("%zu keys, all checksums right, members %s\n", cells.size(),
+                    opened.note("members").c_str());
+        return;
+    }
+    for (const auto& [key, cell] : cells) {
+        const bool configuration = key == "configuration" && cell.value.size() > 8;
+        const auto value =
+            configuration ? wings::unsqueeze(std::string_view(cell.value).substr(8)) : cell.value;
+        if (what == "export") {
+            if (configuration) std::printf("%s\n", value.c_str());
+            continue;
+        }
+        std::printf("%s: accepted %s, promised %s, %zu bytes on disk", key.c_str(),
+                    text(cell.accepted).c_str(), text(cell.promised).c_str(), cell.value.size());
+        if (configuration)
+            std::printf(", version %s, %zu bytes as sent\n", cell.value.substr(0, 8).c_str(), value.size());
+        else std::printf("\n%s%s", value.c_str(), value.empty() ? "" : "\n");
+    }
+    if (what == "show") std::printf("members: %s\n", opened.note("members").c_str());
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-    using namespace lichenlanding;
     CLI::App app("lichenlanding-gateway: the API gateway around lichenlanding's decisions.");
-    app.footer("The programs read the settings file that LICHENLANDING_SETTINGS names.");
+    app.footer(
+        "The programs read the settings file that LICHENLANDING_SETTINGS names.\n"
+        "Exit status: 0 done, 1 refused or failed (a line tells), 2 wrong words.");
     app.require_subcommand(1);
     std::function<void()> chosen;
+    std::string file, host, path, what, address;
+    bool json = false, metrics = false;
     app.add_subcommand("foyer", "take clients' requests to pods (on edge machines)")->callback([&] {
         chosen = [] { foyer::run(playbill::Boot::fromEnvironment()); };
     });
-    app.add_subcommand("prompter", "keep configurations and rollouts, follow the pods (on core machines)")
-        ->callback([&] { chosen = [] { prompter::run(playbill::Boot::fromEnvironment()); }; });
+    auto* prompter = app.add_subcommand(
+        "prompter", "keep configurations and rollouts, follow the pods (on core machines)");
+    prompter->add_flag("--metrics", metrics, "answer GET /metrics on the control address");
+    prompter->callback([&] { chosen = [&] { prompter::run(playbill::Boot::fromEnvironment(), metrics); }; });
+
+    auto* playbill = app.add_subcommand("playbill", "configurations");
+    playbill->require_subcommand(1);
+    auto* check = playbill->add_subcommand("check", "all mistakes of a configuration, each with its place");
+    check->add_option("file", file, "the configuration, - for standard input")->required();
+    check->footer("Example:\n  lichenlanding-gateway playbill check config.json");
+    check->callback([&] {
+        chosen = [&] {
+            const auto read = playbill::Playbill::read(contents(file));
+            std::printf("version %s: %zu routes, %zu services\n", playbill::versionText(read.version).c_str(),
+                        read.routes.size(), read.services.size());
+        };
+    });
+    auto* explain =
+        app.add_subcommand("explain", "why a request goes where it goes, with each setting's origin");
+    explain->add_option("file", file, "the configuration, - for standard input")->required();
+    explain->add_option("host", host, "the request's Host")->required();
+    explain->add_option("path", path, "the request's path")->required();
+    explain->footer("Example:\n  lichenlanding-gateway explain config.json shop.example /orders/7");
+    explain->callback(
+        [&] { chosen = [&] { std::fputs(playbill::explain(contents(file), host, path).c_str(), stdout); }; });
+    auto* promptbook = app.add_subcommand("promptbook", "a stopped prompter's disk");
+    promptbook->add_option("what", what, "show, check, or export (the configuration as it was sent)")
+        ->required()
+        ->check(CLI::IsMember({"show", "check", "export"}));
+    promptbook->add_option("folder", file, "the book's folder, data_dir/promptbook")->required();
+    promptbook->callback([&] { chosen = [&] { book(file, what); }; });
+    auto* status = app.add_subcommand("status", "what a running prompter knows");
+    status->add_option("address", address, "its control address, such as 10.1.0.16:8166")->required();
+    status->add_flag("--json", json, "as it comes");
+    status->callback([&] { chosen = [&] { std::fputs(command::status(address, json).c_str(), stdout); }; });
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& wrong) {
@@ -25,6 +117,9 @@
     }
     try {
         chosen();
+    } catch (const playbill::Refusal& refusal) {
+        for (const auto& mistake : refusal.mistakes) std::fprintf(stderr, "%s\n", mistake.c_str());
+        return 1;
     } catch (const std::exception& failure) {
         std::fprintf(stderr, "lichenlanding-gateway: %s\n", failure.what());
         return 1;
--- a/src/cues/cues.cpp
+++ b/src/cues/cues.cpp
@@ -6,11 +6,11 @@
 #define MEMBER_FIELDS(X) \
     X(id, "i")           \
     X(service, "s") X(address, "a") X(zone, "z") X(version, "v") X(slots, "k") X(draining, "d") X(warmup, "w")
-#define ROLLOUT_FIELDS(X)                                                                     \
-    X(service, "service")                                                                     \
-    X(target, "target")                                                                       \
-    X(state, "state") X(stage, "stage") X(number, "number") X(began, "began") X(term, "term") \
-        X(moved, "moved")
+#define ROLLOUT_FIELDS(X) \
+    X(service, "service") \
+    X(target, "target")   \
+    X(state, "state")     \
+    X(stage, "stage") X(number, "number") X(began, "began") X(term, "term") X(moved, "moved")
 
 namespace lichenlanding::cues {
 
--- a/src/playbill/playbill.cpp
+++ b/src/playbill/playbill.cpp
@@ -173,7 +173,7 @@
         const Reader from{spec ? *spec : none, entry.path + "/spec", mistakes};
         if (type == "route_table") {
             about.text(name, "name", true);
-            if (spec) made.routes.push_back(route(from, name));
+            if (spec) made.routes.push_back(route(from, name)), made.routes.back().entry = at;
         } else if (type == "service_table") {
             auto& service = made.services.emplace_back();
             about.text(service.name, "name", true);
@@ -229,4 +229,57 @@
     return nullptr;
 }
 
+std::string explain(std::string_view bytes, std::string_view host, std::string_view path) {
+    const auto playbill = Playbill::read(bytes);
+    const auto told = Json::parse(bytes);
+    const auto& resources = told.at("resources");
+    const auto shown = [](const Json& spec, const std::string& where, const char* name,
+                          const std::string& value) {
+        const bool set = spec.is_object() && spec.contains(name);
+        return std::string("  ") + name + " = " + value + "  (" +
+               (set ? where + "/spec/" + name : "default") + ")\n";
+    };
+    const auto text = [](const std::string& value) { return value; };
+    const auto duration = [](Nanos value) { return std::to_string(value / ms) + "ms"; };
+    const auto count = [](std::int64_t value) { return std::to_string(value); };
+    std::string all = "configuration " + versionText(playbill.version) + "\n";
+    if (const auto* route = playbill.find(host, path)) {
+        const auto where = "/resources/" + std::to_string(route->entry);
+        const auto& spec = resources.at(route->entry).at("spec");
+        all += "route " + route->name + ": the longest path_prefix of this host that begins the path\n";
+#define X(member, key, kind, needed) all += shown(spec, where, key, kind(route->member));
+        ROUTE_SETTINGS(X)
+#undef X
+        all += shown(spec, where, "route_class", route->repeatable ? "idempotent" : "non_idempotent");
+        for (const auto& share : route->shares)
+            all += "to service " + share.service + ", " + std::to_string(share.weight) + " of " +
+                   std::to_string(route->weights) + " requests\n";
+        for (std::size_t at = 0; at < resources.size(); ++at)
+            for (const auto& share : route->shares) {
+                const auto& entry = resources.at(at);
+                if (entry.at("resource_type") != "service_table" ||
+                    entry.at("metadata").at("name") != share.service)
+                    continue;
+                const auto* service = playbill.service(share.service);
+                const auto place = "/resources/" + std::to_string(at);
+                all += "service " + share.service + "\n";
+#define X(member, key, kind, needed) all += shown(entry.at("spec"), place, key, kind(service->member));
+                SERVICE_SETTINGS(X)
+#undef X
+            }
+    } else {
+        all += "no route: 404\n";
+    }
+    Json spec;
+    std::string place;
+    for (std::size_t at = 0; at < resources.size(); ++at)
+        if (resources.at(at).at("resource_type") == "limits")
+            spec = resources.at(at).at("spec"), place = "/resources/" + std::to_string(at);
+    all += "limits of clients\n";
+#define X(member, key, kind, needed) all += shown(spec, place, key, kind(playbill.bounds.member));
+    BOUNDS_SETTINGS(X)
+#undef X
+    return all;
+}
+
 }  // namespace lichenlanding::playbill
--- a/src/playbill/playbill.hpp
+++ b/src/playbill/playbill.hpp
@@ -28,6 +28,7 @@
 
 struct Route {
     std::string name, host, prefix;
+    std::size_t entry = 0;          // its place in the list of resources
     bool repeatable = false;        // route_class idempotent
     Nanos timeout = 0, target = 0;  // above 0
     std::int64_t priority = 0;      // 0 the highest
@@ -67,6 +68,10 @@
     std::unordered_map<std::string, std::size_t> places_;  // host and prefix; looked up, never walked through
 };
 
+// Why a request goes where it goes: the route, and each setting with its place in the file or "default".
+// Throws Refusal where the configuration is wrong.
+std::string explain(std::string_view bytes, std::string_view host, std::string_view path);
+
 std::string versionText(std::uint32_t version);  // eight hexadecimal digits
 
 // "1500ms", "2.5s". Throws std::invalid_argument.
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -53,8 +53,9 @@
 };
 
 struct Prompter {
-    explicit Prompter(const playbill::Boot& boot_)
+    Prompter(const playbill::Boot& boot_, bool metrics_)
         : boot(boot_),
+          metrics(metrics_),
           keeper(io, boot, [this](const std::string& key) { learnt(key); }),
           control(listen(io, boot.control)),
           peers(listen(io, boot.internal(boot.ip))) {
@@ -248,7 +249,7 @@
             std::vector<troupe::Member> members;
             std::string token;
             bool whole = false;
-            int calls = 0;
+            int calls_ = 0;
             try {
                 for (int page = 0; page < 1000; ++page) {
                     stream->expires_after(span(pollWithin));
@@ -266,8 +267,9 @@
                     co_await http::async_read(*stream, buffer, parser, asio::use_awaitable);
                     const auto& response = parser.get();
                     if (!response.keep_alive()) connected = false, stream->close();
-                    ++calls;
-                    if (response.result_int() == 429) {  // the same page again, when there is room
+                    ++calls_, ++listCalls;
+                    if (response.result_int() == 429) {
+                        ++listRefused;  // the same page again, when there is room
                         log("list_refused", {{"step", "list"}, {"peer", boot.list}, {"status", 429}});
                         --page;
                         co_await sleep(callGap() * 2);
@@ -290,7 +292,7 @@
                 connected = false, whole = false;
             }
             if (whole) took(members);
-            const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * calls);
+            const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * calls_);
             co_await sleep(std::max(started + every - now(), 20 * ms));
         }
     }
@@ -408,6 +410,7 @@
     Task<Response> answer(const Request& request) {
         const auto target = view(request.target());
         const auto question = target.find('?');
+        if (metrics && target == "/metrics") co_return metricsPage();
         if (target.substr(0, question) != "/api/rpc") co_return wrong(404, "path: only /api/rpc");
         if (request.method() != http::verb::post) co_return wrong(405, "method: must be POST");
         std::string call, of;
@@ -423,6 +426,8 @@
             if (value->empty()) co_return later("no configuration yet");
             co_return respond(200, unsqueeze(std::string_view(*value).substr(8)));
         }
+        if (call == "status")
+            co_return respond(200, status().dump(-1, ' ', false, Json::error_handler_t::replace));
         if (call == "rollouts.begin") co_return co_await begin(request.body());
         if (call == "rollouts.read") {
             const auto value = co_await keeper.read(rolloutsKey, answerWithin);
@@ -436,6 +441,66 @@
         co_return wrong(404, "call: no such call: " + call);
     }
 
+    // What this prompter knows; nothing is asked of others.
+    Json status() const {
+        const auto& known = keeper.known(configurationKey).value;
+        Json told{
+            {"node", boot.name},
+            {"blank", keeper.blank()},
+            {"members", keeper.members().size()},
+            {"reached", keeper.reached()},
+            {"configuration", known.substr(0, std::min<std::size_t>(known.size(), 8))},
+            {"duty", Json::array()},
+            {"foyers", Json::object()},
+            {"pods", Json::object()},
+            {"rollouts",
+             Json::parse(keeper.known(rolloutsKey).value.empty() ? "[]" : keeper.known(rolloutsKey).value)},
+            {"votes", Json::array()},
+            {"calls", calls},
+            {"list_calls", listCalls},
+            {"list_refused", listRefused}};
+        for (const auto* duty : {"list", "rollouts"})
+            if (onDuty(duty)) told["duty"].push_back(duty);
+        for (const auto& [name, foyer] : foyers)
+            told["foyers"][name] = {{"at", foyer.address},
+                                    {"life", foyer.life},
+                                    {"configuration", playbill::versionText(foyer.applied)}};
+        for (const auto& [_, member] : troupe.members()) {
+            auto& counts = told["pods"][member.service][member.version];
+            if (counts.is_null()) counts = {0, 0};
+            auto& count = counts[member.draining ? 1 : 0];
+            count = count.get<int>() + 1;
+        }
+        for (const auto& [_, byVoter] : votes)
+            for (const auto& [voter, vote] : byVoter)
+                if (now() - vote.at < voteLife) told["votes"].push_back(vote.about);
+        return told;
+    }
+
+    Response metricsPage() const {
+        const auto told = status();
+        std::uint32_t behind = 0;
+        for (const auto& [_, foyer] : told.at("foyers").items())
+            behind += foyer.at("configuration") != told.at("configuration");
+        std::string page;
+        const auto add = [&](const char* name, const char* kind, const Json& value) {
+            page += std::string("# TYPE lichenlanding_") + name + " " + kind + "\nlichenlanding_" + name +
+                    " " + value.dump() + "\n";
+        };
+        add("members_reached", "gauge", told.at("reached"));
+        add("disk_blank", "gauge", told.at("blank").get<bool>() ? 1 : 0);
+        add("foyers", "gauge", told.at("foyers").size());
+        add("foyers_behind", "gauge", behind);
+        add("pods", "gauge", troupe.members().size());
+        add("rollouts", "gauge", told.at("rollouts").size());
+        add("operator_calls_total", "counter", calls);
+        add("list_calls_total", "counter", listCalls);
+        add("list_refused_total", "counter", listRefused);
+        auto response = respond(200, std::move(page));
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        return response;
+    }
+
     Task<Response> replace(const std::string& body) {
         std::string value;
         try {
@@ -505,6 +570,7 @@
                 co_return;
             }
             const auto request = parser.release();
+            ++calls;
             auto response = co_await answer(request);
             response.keep_alive(request.keep_alive());
             response.prepare_payload();
@@ -553,6 +619,7 @@
     }
 
     playbill::Boot boot;
+    const bool metrics;
     asio::io_context io{1};
     Keeper keeper;
     tcp::acceptor control, peers;
@@ -561,16 +628,16 @@
     std::map<std::string, Foyer> foyers;                       // by name
     std::map<std::string, std::map<std::string, Vote>> votes;  // by rollout and voter
     troupe::Troupe troupe;
-    std::uint64_t listNumber = 0;
+    std::uint64_t listNumber = 0, calls = 0, listCalls = 0, listRefused = 0;
     const Nanos began = now();
     bool listed = false, startedReading = false, rosterDue = false;
 };
 
 }  // namespace
 
-void run(const playbill::Boot& boot) {
+void run(const playbill::Boot& boot, bool metrics) {
     openLog(boot.name);
-    Prompter(boot).run();
+    Prompter(boot, metrics).run();
 }
 
 }  // namespace lichenlanding::prompter
--- a/src/prompter/prompter.hpp
+++ b/src/prompter/prompter.hpp
@@ -7,6 +7,7 @@
 namespace lichenlanding::prompter {
 
 // Serves until SIGTERM. Throws on settings or addresses that cannot be used.
-void run(const playbill::Boot& boot);
+// `metrics`: GET /metrics is answered on the control address, in the text format that scrapers read.
+void run(const playbill::Boot& boot, bool metrics = false);
 
 }  // namespace lichenlanding::prompter
