--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -98,7 +98,7 @@
 }
 
 void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos) {
-    rollouts_ = std::move(rollouts);
+    rollouts_ = std::move(rollouts), rolloutsKnown_ = true;
     for (const auto& rollout : rollouts_) {
         settled_[rollout.service].erase(rollout.target);
         auto& trial = trials_[rollout.service + "\n" + rollout.target];
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -78,6 +78,10 @@
     void rollouts(std::vector<cues::Rollout> rollouts, Nanos now);
     const std::vector<cues::Rollout>& rollouts() const { return rollouts_; }
 
+    // Whether all is there that a send needs: a configuration, rollouts and pods.
+    bool ready() const { return playbill_ && rolloutsKnown_ && listed_; }
+    void listed() { listed_ = true; }
+
     // A request that has come in: false where no route takes it.
     bool begin(Try& request, std::string_view host, std::string_view path, Nanos now, Nanos clientTime);
 
@@ -123,6 +127,7 @@
     std::map<std::string, double> typical_;                 // by route: an answer's usual time, ns
     std::vector<cues::Rollout> rollouts_;
     std::uint64_t bad_ = 0;
+    bool rolloutsKnown_ = false, listed_ = false;
 };
 
 }  // namespace lichenlanding::casting
--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -84,7 +84,6 @@
         } else if (kind == "rollouts") {
             auto told = cues::readRollouts(message.at("list").get_ref<const std::string&>());
             const auto number = message.at("number").get<std::int64_t>();
-            rolloutsKnown = true;
             if (number > rolloutsNumber) rolloutsNumber = number, casting.rollouts(std::move(told), now());
             watchRollouts();
         } else if (kind == "counts") {
@@ -142,7 +141,7 @@
         }
         for (const auto& event : events)
             if (troupe.apply(event)) casting.apply(event, now());
-        listed = true;
+        casting.listed();
     }
 
     void enrol() {
@@ -242,7 +241,7 @@
 
     // ---- Readiness, stopping, small change. ----
 
-    bool ready() const { return !leaving && casting.playbill() && listed && rolloutsKnown; }
+    bool ready() const { return !leaving && casting.ready(); }
 
     Task<> probe(tcp::socket socket) {
         beast::flat_buffer buffer;
@@ -353,7 +352,7 @@
     std::uint32_t newest = 0, askedFor = 0;
     Nanos askedAt = 0;
     std::int64_t rolloutsNumber = -1;
-    bool listed = false, rolloutsKnown = false, leaving = false, counting = false;
+    bool leaving = false, counting = false;
 };
 
 }  // namespace
--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -16,6 +16,7 @@
 constexpr Nanos connectWithin = 250 * ms;  // a pod's connection comes up, or it is left
 constexpr Nanos bodyWithin = 30 * second;  // a request's body
 constexpr Nanos unreadFor = 10 * second;   // a client that does not take its answers
+constexpr Nanos startWithin = 150 * ms, startLook = 10 * ms;
 constexpr Nanos lingerFor = 300 * ms;      // after the last answer, for what is still on its way
 constexpr Nanos whileUnready = 300 * ms;   // told to clients that come before the first configuration
 constexpr Nanos clientTimeUnlessTold = 60 * second;
@@ -280,6 +281,8 @@
         exchange->response = std::move(response);
         ready(session, exchange);
     };
+    // A foyer that has just come up waits a moment for what prompters are about to tell it.
+    for (const Nanos until = now() + startWithin; !casting_.ready() && now() < until;) co_await sleep(startLook);
     if (!casting_.playbill()) co_return finish(own(503, "no configuration yet", whileUnready), refused);
     if (request["X-Attempt-Id"].empty()) co_return finish(own(400, "X-Attempt-Id is missing"), refused);
     Nanos clientTime = clientTimeUnlessTold;
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -29,6 +29,10 @@
             cues::readBallot(from.at(2)), cues::readText(from.at(3)), cues::readBallot(from.at(4))};
 }
 
+Json ask(std::uint64_t id, const reg::Run& run) {
+    return {{"t", "reg"}, {"id", id}, {"step", static_cast<int>(run.step())}, {"request", write(run.request())}};
+}
+
 }  // namespace
 
 struct Keeper::Pending {
@@ -125,7 +129,11 @@
     form();
 }
 
-void Keeper::joined(const std::string& to, std::shared_ptr<Link> link) { links_[to] = std::move(link); }
+void Keeper::joined(const std::string& to, std::shared_ptr<Link> link) {
+    if (members_.contains(to))
+        for (const auto& [id, pending] : pending_) link->send(ask(id, pending->run));
+    links_[to] = std::move(link);
+}
 void Keeper::parted(const std::string& to) { links_.erase(to); }
 
 const Keeper::Known& Keeper::known(const std::string& key) const {
--- a/tests/gateway/stage.hpp
+++ b/tests/gateway/stage.hpp
@@ -33,6 +33,8 @@
         boot.zone = "z", boot.budgetSlack = 20;
         casting = std::make_unique<casting::Casting>(boot, 1);
         casting->take(std::make_shared<playbill::Playbill>(playbill::Playbill::read(configuration(routes))));
+        casting->rollouts({}, now());
+        casting->listed();
         upstream = std::make_unique<foyer::Upstream>(io);
         front = std::make_unique<foyer::Front>(io, *casting, *upstream);
         clients = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
