Rollouts: a rehearsal with all traffic within the unused share; undecided ends before its term

Change: the watch takes 0.45 of the share; what is left unused is spent at once in stage 1, 0.6 s of all traffic, never above 0.9 of the share of all requests so far; 'on' is asked again; only then all traffic, then completed. Undecided 0.7 s before the term is rolled back.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr double budgetPart = 0.85;      // of the fleet's budget that foyers spend, each by its own share
-constexpr double hedgePart = 0.5;        // of that, which second sends beside one that is out may take
-constexpr double sharePart = 0.8;        // of the share that a version on trial may have
+constexpr double budgetPart = 0.85;    // of the fleet's budget that foyers spend, each by its own share
+constexpr double hedgePart = 0.5;      // of that, which second sends beside one that is out may take
+constexpr double sharePart = 0.45;     // of the share that a version on trial may have, while it is watched
+constexpr double rehearsalPart = 0.9;  // of it, that the watch and the rehearsal may come to
+constexpr Nanos rehearsalFor = 600 * ms;
 constexpr double creditAtMost = 1.5;     // sends to it that may be saved up
 constexpr Nanos skipFirst = 2 * second;  // of a pod's life nothing counts for a version
 constexpr double otherZone = 0.5;        // what a pod in another zone costs more, in usual answers
@@ -56,6 +58,9 @@
 
 struct Casting::Trial {
     double credit = 0;
+    double sent = 0, all = 0;  // to it, and to its service, since the order is known here
+    int stage = 0;
+    Nanos staged = 0;  // since when
     std::uint32_t fresh = 0, bad = 0;
     verdict::Totals totals;
 };
@@ -97,12 +102,13 @@
     at->second->listed.draining = event.member.draining;
 }
 
-void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos) {
+void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos now) {
     rollouts_ = std::move(rollouts), rolloutsKnown_ = true;
     for (const auto& rollout : rollouts_) {
         settled_[rollout.service].erase(rollout.target);
         auto& trial = trials_[rollout.service + "\n" + rollout.target];
         if (!trial) trial = std::make_shared<Trial>();
+        if (rollout.stage != trial->stage) trial->stage = rollout.stage, trial->staged = now;
     }
     for (auto& [service, versions] : settled_) {
         if (!versions.empty()) continue;
@@ -202,9 +208,14 @@
         auto& trial = *trials_[rollout.service + "\n" + rollout.target];
         const bool there = !near[1].empty() || !far[1].empty();
         const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
-        if (stopped) continue;
-        if (rollout.stage > 0 && there) from = 1;
-        if (rollout.stage > 0 || further || !there) continue;
+        ++trial.all;
+        if (stopped || !there) continue;
+        // The rehearsal: all of the requests for a moment, within what the share has left unused so far. What
+        // fails only under load shows here, before it may have all.
+        const bool rehearsing = rollout.stage == 1 && now - trial.staged < rehearsalFor &&
+                                trial.sent + 1 <= trial.all * share_ * rehearsalPart;
+        if (rollout.stage > 1 || rehearsing) from = 1;
+        if (from == 1 || further) continue;
         trial.credit = std::min(trial.credit + share_ * sharePart, creditAtMost);
         if (trial.credit >= 1) trial.credit -= 1, from = 1;
     }
@@ -221,6 +232,7 @@
     if (!best) look(resting[0], 2);
     if (!best) return nullptr;
     request.sent.push_back(best.get());
+    if (side(*best) == Side::fresh) ++trials_[best->listed.service + "\n" + best->listed.version]->sent;
     ++request.arrivals, ++request.out;
     if (further) spent.cell(now).second += 1;
     if (best->out++ == 0) best->owes = now;
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -30,7 +30,8 @@
 }
 
 Json ask(std::uint64_t id, const reg::Run& run) {
-    return {{"t", "reg"}, {"id", id}, {"step", static_cast<int>(run.step())}, {"request", write(run.request())}};
+    return {
+        {"t", "reg"}, {"id", id}, {"step", static_cast<int>(run.step())}, {"request", write(run.request())}};
 }
 
 }  // namespace
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -28,8 +28,10 @@
 constexpr Nanos pollAlone = 1200 * ms;  // a start without links waits so long before it takes a duty
 constexpr Nanos steerEvery = 200 * ms;
 constexpr Nanos voteLife = 1500 * ms;
-constexpr double watchPart = 0.6;  // of an order's term that a version is watched with its share at least
-constexpr std::int64_t moveMillis = 2500;  // with all traffic, before the old pods are let go
+constexpr double watchPart = 0.55;  // of an order's term that a version is watched with its share at least
+constexpr std::int64_t moveMillis = 2500;       // with all traffic, before the old pods are let go
+constexpr std::int64_t rehearsedMillis = 1400;  // the rehearsal, and until its outcomes are judged
+constexpr std::int64_t undecidedMillis = 700;   // before the term, so that it is told in time
 constexpr Nanos tellKnownEvery = 500 * ms;
 constexpr Nanos rosterAfter = 400 * ms;
 constexpr double listPart = 0.7;  // of the platform's calls a second that the list may take
@@ -358,9 +360,11 @@
         else if (rollout.stage == 0 && !chosen.empty() && on >= majority &&
                  static_cast<double>(elapsed) >= watchPart * static_cast<double>(rollout.term))
             to.stage = 1, to.moved = wallMillis(), why = "voters";
-        else if (rollout.stage == 1 && wallMillis() - rollout.moved >= moveMillis)
+        else if (rollout.stage == 1 && on >= majority && wallMillis() - rollout.moved >= rehearsedMillis)
+            to.stage = 2, to.moved = wallMillis(), why = "voters, after the rehearsal";
+        else if (rollout.stage == 2 && wallMillis() - rollout.moved >= moveMillis)
             to.state = "completed", why = "all traffic held";
-        else if (rollout.stage == 0 && elapsed >= rollout.term)
+        else if (rollout.stage < 2 && elapsed >= rollout.term - undecidedMillis)
             to.state = "rolled_back", why = "undecided at its term";
         if (!why) co_return;
         log("rollout", {{"service", to.service},
