--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: build test sanitize bench fuzz lint run clean
 
 build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DLICHENLANDING_GATEWAY=ON
 	cmake --build build -j4
 
 test:
--- a/src/verdict/rank.cpp
+++ b/src/verdict/rank.cpp
@@ -22,7 +22,6 @@
 
 }  // namespace
 
-// Ranks coarsened to two: well and not.
 Bins inTwo(double bad, double all) { return {std::max(all - bad, 0.0), bad}; }
 
 RankBounds rankTest(const std::vector<double>& x, const std::vector<double>& y, double bar, int times,
