--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -202,11 +202,16 @@
         place[at].push_back(&actor);
     }
     // EXPOSURE: a version on trial gets its share, counted here; all of it once its order says so.
-    std::size_t from = 0;
+    // Two orders of one service are told apart: what one may have is not the other's.
+    const std::string* target = nullptr;
+    const auto isOf = [](const std::string& version) {
+        return [&version](const auto* actor) { return (*actor)->listed.version == version; };
+    };
     for (const auto& rollout : rollouts_) {
         if (rollout.service != request.service || !rollout.running()) continue;
         auto& trial = *trials_[rollout.service + "\n" + rollout.target];
-        const bool there = !near[1].empty() || !far[1].empty();
+        const bool there = std::any_of(near[1].begin(), near[1].end(), isOf(rollout.target)) ||
+                           std::any_of(far[1].begin(), far[1].end(), isOf(rollout.target));
         const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
         ++trial.all;
         if (stopped || !there) continue;
@@ -214,11 +219,15 @@
         // fails only under load shows here, before it may have all.
         const bool rehearsing = rollout.stage == 1 && now - trial.staged < rehearsalFor &&
                                 trial.sent + 1 <= trial.all * share_ * rehearsalPart;
-        if (rollout.stage > 1 || rehearsing) from = 1;
-        if (from == 1 || further) continue;
+        if (!target && (rollout.stage > 1 || rehearsing)) target = &rollout.target;
+        if (rollout.stage > 1 || rehearsing || further) continue;
         trial.credit = std::min(trial.credit + share_ * sharePart, creditAtMost);
-        if (trial.credit >= 1) trial.credit -= 1, from = 1;
+        if (trial.credit >= 1) trial.credit -= 1, target = &rollout.target;
     }
+    const std::size_t from = target ? 1 : 0;
+    if (target)
+        for (auto* place : {&near[1], &far[1]})
+            std::erase_if(*place, [&](const auto* actor) { return (*actor)->listed.version != *target; });
     std::shared_ptr<Actor> best;
     double least = 0;
     const auto look = [&](const std::vector<const std::shared_ptr<Actor>*>& place, int draws) {
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -33,6 +33,7 @@
 constexpr std::int64_t rehearsedMillis = 1400;  // the rehearsal, and until its outcomes are judged
 constexpr std::int64_t undecidedMillis = 700;   // before the term, so that it is told in time
 constexpr Nanos tellKnownEvery = 500 * ms;
+constexpr std::size_t endedKept = 8;
 constexpr Nanos rosterAfter = 400 * ms;
 constexpr double listPart = 0.7;  // of the platform's calls a second that the list may take
 constexpr std::uint64_t bodyAtMost = 96 << 20;
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(sendsAgain);
     CPPUNIT_TEST(budget);
     CPPUNIT_TEST(exposure);
+    CPPUNIT_TEST(twoOrders);
     CPPUNIT_TEST(versions);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(neverBack);
@@ -159,6 +160,27 @@
         CPPUNIT_ASSERT(fresh < 60);  // until 0.3 of those it has seen are bad
     }
 
+    // Two orders of one service at once: while one has all traffic, the other keeps to its own share.
+    void twoOrders() {
+        Room room;
+        room.list("n", "v2"), room.list("m", "v2"), room.list("x", "v3"), room.list("y", "v3");
+        cues::Rollout good, bad;
+        good.service = bad.service = "s", good.target = "v2", bad.target = "v3", good.stage = 2,
+        good.number = 2, bad.number = 1;
+        room.room->rollouts({bad, good}, room.now);
+        std::map<std::string, int> where;
+        for (int at = 0; at < 1000; ++at) {
+            room.now += 10 * ms;
+            auto request = room.begin(reading);
+            CPPUNIT_ASSERT(room.send(request) != "-");
+            ++where[room.last->listed.version];
+            room.end(request, End::answered);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, where["v1"]);
+        CPPUNIT_ASSERT(where["v3"] >= 40);
+        CPPUNIT_ASSERT(where["v3"] <= 50);
+    }
+
     // ROUTE: which versions take requests, by the state of the order.
     void versions() {
         std::string seen;
