Stages of a rollout and kept connections: decided in pure rooms, no longer in the programs

Need: no decision or tuned value in network or adapter code. What the voters' word makes of a stage moves to src/verdict/stages (pure, every stage by every word in an approved transcript); how long a pod's connection is used again moves to casting.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -29,8 +29,18 @@
 constexpr Nanos comeBack = 150 * ms;
 constexpr double linesPart = 0.8;  // of a pod's connections, that foyers share
 
+constexpr Nanos idleUnlessTold = 4 * second;  // how long a pod is taken to keep an idle connection
+constexpr double idlePart = 0.7;              // of what it says
+constexpr Nanos carefulIdle = 1500 * ms;
+
 }  // namespace
 
+Nanos keptFor(Nanos told) {
+    return static_cast<Nanos>(static_cast<double>(told > 0 ? told : idleUnlessTold) * idlePart);
+}
+
+bool surelyKept(Nanos age, Nanos kept) { return age <= std::min(carefulIdle, kept); }
+
 // Sends past the first of a request, against requests, in seconds' cells over a window.
 struct Casting::Budget {
     static constexpr std::size_t cells = 32;
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -50,6 +50,11 @@
     return end == End::turned || end == End::elsewhere || end == End::unreached;
 }
 
+// How long an idle connection is used again, from what its pod says (0: nothing); and whether a request that
+// may run only once may go on one that has been idle for `age`.
+Nanos keptFor(Nanos told);
+bool surelyKept(Nanos age, Nanos kept);
+
 // One request of a client, on its way.
 struct Try {
     const playbill::Route* route = nullptr;
--- a/src/cues/cues.hpp
+++ b/src/cues/cues.hpp
@@ -31,8 +31,8 @@
 Json write(const verdict::Totals& totals);
 verdict::Totals readTotals(const Json& from);
 
-// One order to bring a version in. Stages: 0 a share; 1 a rehearsal, all traffic for a moment; 2 all traffic, before
-// the old pods are let go.
+// One order to bring a version in. Stages: 0 a share; 1 a rehearsal, all traffic for a moment; 2 all traffic,
+// before the old pods are let go.
 struct Rollout {
     std::string service, target, state = "in_progress";
     int stage = 0;
--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -7,6 +7,7 @@
 #include "company/company.hpp"
 #include "cues/cues.hpp"
 #include "foyer/front.hpp"
+#include "verdict/stages.hpp"
 #include "wings/link.hpp"
 #include "wings/log.hpp"
 #include "wings/pack.hpp"
@@ -16,10 +17,7 @@
 
 using namespace wings;
 
-constexpr std::size_t voters = 3;
-constexpr Nanos countsEvery = 1000 * ms;  // totals to the voters
-constexpr Nanos urgentEvery = 250 * ms;   // where bad answers have come since
-constexpr Nanos askAgain = 400 * ms;      // for a configuration that has not come
+constexpr Nanos askAgain = 400 * ms;  // for a configuration that has not come
 constexpr Nanos sweepEvery = 250 * ms;
 constexpr Nanos takeOnFor = 3000 * ms;   // after SIGTERM, until clients have been led away
 constexpr Nanos leaveBefore = 500 * ms;  // of the grace, kept back
@@ -156,7 +154,7 @@
     std::vector<std::string> votersOf(const cues::Rollout& rollout) const {
         std::vector<std::string> names;
         for (const auto& [name, _] : foyers) names.push_back(name);
-        return company::chosen(names, rollout.service + "\n" + rollout.target, voters);
+        return company::chosen(names, rollout.service + "\n" + rollout.target, verdict::voterCount);
     }
 
     void watchRollouts() {
@@ -172,8 +170,8 @@
         Nanos told = 0;
         std::uint64_t badTold = 0;
         for (bool running = true; running;) {
-            co_await sleep(urgentEvery);
-            const bool due = now() - told >= countsEvery || casting.badSeen() > badTold;
+            co_await sleep(verdict::urgentEvery);
+            const bool due = now() - told >= verdict::countsEvery || casting.badSeen() > badTold;
             running = false;
             for (const auto& rollout : casting.rollouts()) {
                 if (!rollout.running()) continue;
@@ -222,7 +220,7 @@
         const auto key = rollout.service + "\n" + rollout.target;
         auto& next = judgeNext[key];
         if (now() < next) return;
-        next = now() + 2 * urgentEvery;
+        next = now() + verdict::judgeEvery;
         const auto judged = verdict::judge(pools[key].sum(), chance);
         const Json vote{{"t", "vote"},
                         {"from", boot.name},
--- a/src/foyer/upstream.cpp
+++ b/src/foyer/upstream.cpp
@@ -14,9 +14,6 @@
 using namespace wings;
 using casting::End;
 
-constexpr Nanos idleUnlessTold = 4 * second;  // how long a pod is taken to keep an idle connection
-constexpr double idlePart = 0.7;              // of what it says
-constexpr Nanos carefulIdle = 1500 * ms;      // on which a request that may run once is still sent
 constexpr std::uint64_t answerAtMost = std::uint64_t{1} << 40;  // larger ones pass through in blocks
 constexpr int surplusAtMost = 2;  // answers to other requests that are read past
 
@@ -27,16 +24,17 @@
     return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// What the pod says of how long it keeps an idle connection; 0: nothing.
 Nanos keepAlive(const Response& response) {
     const auto told = response.find(http::field::keep_alive);
-    if (told == response.end()) return idleUnlessTold;
+    if (told == response.end()) return 0;
     const std::string_view text(told->value().data(), told->value().size());
     const auto at = text.find("timeout=");
     int seconds = 0;
-    if (at == text.npos) return idleUnlessTold;
+    if (at == text.npos) return 0;
     auto number = text.substr(at + 8);
     number = number.substr(0, number.find_first_not_of("0123456789"));
-    return parse(number, seconds) ? seconds * second : idleUnlessTold;
+    return parse(number, seconds) ? seconds * second : 0;
 }
 
 }  // namespace
@@ -55,8 +53,7 @@
     while (!idle.empty()) {
         auto line = idle.back();
         const Nanos age = now() - line->idleSince;
-        if (careful && age > std::min(carefulIdle, line->idleFor))
-            return nullptr;  // and so are all before it
+        if (careful && !casting::surelyKept(age, line->idleFor)) return nullptr;  // and so are all before it
         idle.pop_back();
         if (age < line->idleFor && quiet(line->socket)) return line;
     }
@@ -181,7 +178,7 @@
     const bool reusable = whole && !surplus && !attempt->rest && attempt->end != End::spoilt &&
                           attempt->response.keep_alive() && line->buffer.size() == 0 && !actor.gone;
     if (reusable) {
-        line->idleFor = static_cast<Nanos>(static_cast<double>(keepAlive(attempt->response)) * idlePart);
+        line->idleFor = casting::keptFor(keepAlive(attempt->response));
         keep(attempt->actor, line);
     } else {
         Code ignored;
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -11,6 +11,7 @@
 #include "prompter/keeper.hpp"
 #include "text.hpp"
 #include "troupe/troupe.hpp"
+#include "verdict/stages.hpp"
 #include "wings/log.hpp"
 #include "wings/pack.hpp"
 
@@ -22,16 +23,10 @@
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
 
-constexpr std::size_t voters = 3;
 constexpr Nanos answerWithin = 900 * ms;  // callers move on after a second
 constexpr Nanos pollEvery = 500 * ms, pollWithin = 700 * ms, pollPause = 300 * ms;
 constexpr Nanos pollAlone = 1200 * ms;  // a start without links waits so long before it takes a duty
 constexpr Nanos steerEvery = 200 * ms;
-constexpr Nanos voteLife = 1500 * ms;
-constexpr double watchPart = 0.55;  // of an order's term that a version is watched with its share at least
-constexpr std::int64_t moveMillis = 2500;       // with all traffic, before the old pods are let go
-constexpr std::int64_t rehearsedMillis = 1400;  // the rehearsal, and until its outcomes are judged
-constexpr std::int64_t undecidedMillis = 700;   // before the term, so that it is told in time
 constexpr Nanos tellKnownEvery = 500 * ms;
 constexpr std::size_t endedKept = 8;
 constexpr Nanos rosterAfter = 400 * ms;
@@ -343,31 +338,25 @@
         const auto key = rollout.service + "\n" + rollout.target;
         std::vector<std::string> names;
         for (const auto& [name, _] : foyers) names.push_back(name);
-        const auto chosen = company::chosen(names, key, voters);
-        std::size_t on = 0, back = 0;
+        const auto chosen = company::chosen(names, key, verdict::voterCount);
+        verdict::Ballots ballots;
+        ballots.voters = chosen.size();
         Json said = Json::array();
         for (const auto& voter : chosen) {
             const auto at = votes[key].find(voter);
-            if (at == votes[key].end() || now() - at->second.at > voteLife) continue;
-            on += at->second.verdict == Verdict::on && at->second.stage == rollout.stage;
-            back += at->second.verdict == Verdict::back;
+            if (at == votes[key].end() || now() - at->second.at > verdict::voteLife) continue;
+            ballots.on += at->second.verdict == Verdict::on && at->second.stage == rollout.stage;
+            ballots.back += at->second.verdict == Verdict::back;
             said.push_back(at->second.about);
         }
-        const auto majority = chosen.size() / 2 + 1;
         const auto elapsed = wallMillis() - rollout.began;
+        const auto move =
+            verdict::nextMove(rollout.stage, ballots, elapsed, wallMillis() - rollout.moved, rollout.term);
+        if (!move) co_return;
         auto to = rollout;
-        const char* why = nullptr;
-        if (!chosen.empty() && back >= majority) to.state = "rolled_back", why = "voters";
-        else if (rollout.stage == 0 && !chosen.empty() && on >= majority &&
-                 static_cast<double>(elapsed) >= watchPart * static_cast<double>(rollout.term))
-            to.stage = 1, to.moved = wallMillis(), why = "voters";
-        else if (rollout.stage == 1 && on >= majority && wallMillis() - rollout.moved >= rehearsedMillis)
-            to.stage = 2, to.moved = wallMillis(), why = "voters, after the rehearsal";
-        else if (rollout.stage == 2 && wallMillis() - rollout.moved >= moveMillis)
-            to.state = "completed", why = "all traffic held";
-        else if (rollout.stage < 2 && elapsed >= rollout.term - undecidedMillis)
-            to.state = "rolled_back", why = "undecided at its term";
-        if (!why) co_return;
+        if (move->completed || move->rolledBack) to.state = move->completed ? "completed" : "rolled_back";
+        else ++to.stage, to.moved = wallMillis();
+        const char* why = move->why;
         log("rollout", {{"service", to.service},
                         {"target", to.target},
                         {"state", to.state},
@@ -478,7 +467,7 @@
         }
         for (const auto& [_, byVoter] : votes)
             for (const auto& [voter, vote] : byVoter)
-                if (now() - vote.at < voteLife) told["votes"].push_back(vote.about);
+                if (now() - vote.at < verdict::voteLife) told["votes"].push_back(vote.about);
         return told;
     }
 
--- a/tests/gateway/verdict.cpp
+++ b/tests/gateway/verdict.cpp
@@ -4,6 +4,7 @@
 #include "transcript.hpp"
 #include "troupe/troupe.hpp"
 #include "verdict/rollout.hpp"
+#include "verdict/stages.hpp"
 
 using namespace lichenlanding;
 using verdict::Counts, verdict::Totals;
@@ -25,6 +26,7 @@
     CPPUNIT_TEST_SUITE(VerdictTest);
     CPPUNIT_TEST(totalsOnce);
     CPPUNIT_TEST(judgements);
+    CPPUNIT_TEST(stages);
     CPPUNIT_TEST(voterReplaced);
     CPPUNIT_TEST(listMonotone);
     CPPUNIT_TEST_SUITE_END();
@@ -71,6 +73,30 @@
         approve("verdict-judgements", seen);
     }
 
+    // Every stage by every word of three voters, at the times that matter.
+    void stages() {
+        std::string seen;
+        for (int stage = 0; stage < 3; ++stage)
+            for (const auto& [on, back] :
+                 std::vector<std::pair<std::size_t, std::size_t>>{{0, 0}, {1, 1}, {2, 0}, {3, 0}, {1, 2}})
+                for (const std::int64_t elapsed : {5000, 8800, 15299, 15300}) {
+                    const auto move =
+                        verdict::nextMove(stage, {3, on, back}, elapsed, 1400 + 1100 * (stage == 2), 16000);
+                    if (!move) continue;
+                    seen += "stage " + std::to_string(stage) + ", on " + std::to_string(on) + ", back " +
+                            std::to_string(back) + ", after " + std::to_string(elapsed) + " ms: " +
+                            (move->completed    ? "completed"
+                             : move->rolledBack ? "rolled back"
+                                                : "next stage") +
+                            ", " + move->why + "\n";
+                }
+        CPPUNIT_ASSERT(!verdict::nextMove(0, {0, 0, 0}, 9000, 0, 16000));  // no voters: nobody said 'on'
+        CPPUNIT_ASSERT(
+            !verdict::nextMove(1, {3, 3, 0}, 9000, 1399, 16000));  // the rehearsal is not judged yet
+        CPPUNIT_ASSERT(!verdict::nextMove(2, {3, 0, 0}, 9000, 2499, 16000));
+        approve("verdict-stages", seen);
+    }
+
     // A voter that is killed between a stage's counts and its vote: the others stay, one takes its place.
     void voterReplaced() {
         std::vector<std::string> names;
