Rollouts: the share goes to the same few pods at a time; 'completed' needs 'on' with all traffic

Change: the watch's share goes to 0.045 of the new pods at a time, the same for all foyers, others every 2 s; on-bar 0.29 for the pace that nobody chose; stage 2 completes only while voters say 'on', undecided is rolled back in any stage.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -3,14 +3,17 @@
 #include <algorithm>
 #include <cmath>
 
+#include "company/company.hpp"
+
 namespace lichenlanding::casting {
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr double budgetPart = 0.85;    // of the fleet's budget that foyers spend, each by its own share
-constexpr double hedgePart = 0.5;      // of that, which second sends beside one that is out may take
-constexpr double sharePart = 0.45;     // of the share that a version on trial may have, while it is watched
-constexpr double rehearsalPart = 0.9;  // of it, that the watch and the rehearsal may come to
+constexpr double budgetPart = 0.85;     // of the fleet's budget that foyers spend, each by its own share
+constexpr double hedgePart = 0.5;       // of that, which second sends beside one that is out may take
+constexpr double sharePart = 0.45;      // of the share that a version on trial may have, while it is watched
+constexpr Nanos focusFor = 2 * second;  // the watch's share goes to the same few pods
+constexpr double rehearsalPart = 0.9;   // of it, that the watch and the rehearsal may come to
 constexpr Nanos rehearsalFor = 600 * ms;
 constexpr double creditAtMost = 1.5;     // sends to it that may be saved up
 constexpr Nanos skipFirst = 2 * second;  // of a pod's life nothing counts for a version
@@ -188,6 +191,22 @@
            request.deadline - now > leastLeft;
 }
 
+// A share that is spread over as many new pods as there are old ones never loads one, and what fails only
+// under load would show with all traffic. So all foyers send it to the same few at a time, as many as it
+// loads like the rest, and to others every two seconds: their paces differ.
+void Casting::focus(Places& near, Places& far, const std::string& target, Nanos now) const {
+    std::vector<std::string> names;
+    for (const auto* place : {&near, &far})
+        for (const auto* actor : *place) names.push_back((*actor)->listed.id);
+    const auto few = static_cast<std::size_t>(static_cast<double>(names.size()) * share_ * sharePart);
+    const auto turn = (now + offset_) / focusFor;
+    const auto chosen = company::chosen(names, target + std::to_string(turn), std::max<std::size_t>(few, 1));
+    for (auto* place : {&near, &far})
+        std::erase_if(*place, [&](const auto* actor) {
+            return std::find(chosen.begin(), chosen.end(), (*actor)->listed.id) == chosen.end();
+        });
+}
+
 std::shared_ptr<Actor> Casting::next(Try& request, Nanos now) {
     // TWICE: what may run once is out at one pod at most, and goes on only from what surely did not run.
     if (!request.route->repeatable && (request.mayHaveRun || request.out > 0)) return nullptr;
@@ -200,7 +219,7 @@
         const double allowed = (ratio_ * requests + slack_ / static_cast<double>(foyers_)) * budgetPart;
         if (sends + 1 > allowed * (request.out > 0 ? hedgePart : 1)) return nullptr;
     }
-    std::array<std::vector<const std::shared_ptr<Actor>*>, 2> near, far, resting;
+    std::array<Places, 2> near, far, resting;
     const auto all = byService_.find(request.service);
     if (all == byService_.end()) return nullptr;
     for (const auto& actor : all->second) {
@@ -214,6 +233,7 @@
     // EXPOSURE: a version on trial gets its share, counted here; all of it once its order says so.
     // Two orders of one service are told apart: what one may have is not the other's.
     const std::string* target = nullptr;
+    bool watched = false;  // by the share alone
     const auto isOf = [](const std::string& version) {
         return [&version](const auto* actor) { return (*actor)->listed.version == version; };
     };
@@ -232,12 +252,13 @@
         if (!target && (rollout.stage > 1 || rehearsing)) target = &rollout.target;
         if (rollout.stage > 1 || rehearsing || further) continue;
         trial.credit = std::min(trial.credit + share_ * sharePart, creditAtMost);
-        if (trial.credit >= 1) trial.credit -= 1, target = &rollout.target;
+        if (trial.credit >= 1) trial.credit -= 1, target = &rollout.target, watched = true;
     }
     const std::size_t from = target ? 1 : 0;
     if (target)
         for (auto* place : {&near[1], &far[1]})
             std::erase_if(*place, [&](const auto* actor) { return (*actor)->listed.version != *target; });
+    if (watched) focus(near[1], far[1], *target, now);
     std::shared_ptr<Actor> best;
     double least = 0;
     const auto look = [&](const std::vector<const std::shared_ptr<Actor>*>& place, int draws) {
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -83,6 +83,9 @@
     void rollouts(std::vector<cues::Rollout> rollouts, Nanos now);
     const std::vector<cues::Rollout>& rollouts() const { return rollouts_; }
 
+    // What is to be added to `now` for a time that all foyers have much alike.
+    void common(Nanos offset) { offset_ = offset; }
+
     // Whether all is there that a send needs: a configuration, rollouts and pods.
     bool ready() const { return playbill_ && rolloutsKnown_ && listed_; }
     void listed() { listed_ = true; }
@@ -113,6 +116,8 @@
     struct Trial;
     enum class Side { none, earlier, fresh };
     Side side(const Actor& actor) const;
+    using Places = std::vector<const std::shared_ptr<Actor>*>;
+    void focus(Places& near, Places& far, const std::string& target, Nanos now) const;
     double cost(const Actor& actor, const Try& request, Nanos now) const;
     bool usable(const Actor& actor, Nanos now) const;
     Budget& budget(const std::string& service);
@@ -132,6 +137,7 @@
     std::map<std::string, double> typical_;                 // by route: an answer's usual time, ns
     std::vector<cues::Rollout> rollouts_;
     std::uint64_t bad_ = 0;
+    Nanos offset_ = 0;
     bool rolloutsKnown_ = false, listed_ = false;
 };
 
--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -33,6 +33,7 @@
           probes(listen(io, boot.readiness)),
           peers(listen(io, boot.internal(boot.ip))) {
         life = (static_cast<std::uint64_t>(seed) << 20) ^ static_cast<std::uint64_t>(wallMillis());
+        casting.common(wallMillis() * ms - now());
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link& link) { return greet(link); };
         owner->heard = [this](Link& link, const Json& message) { heard(link, message); };
--- a/src/verdict/rollout.cpp
+++ b/src/verdict/rollout.cpp
@@ -9,9 +9,10 @@
 
 constexpr double leastOutcomes = 20;  // of each side, for ranks
 constexpr double leastFailing = 6;    // of the new side, where failures alone speak
-// Bars below the sidecar's own 0.4: a share this small goes to pods whose pace is not known yet, while the
-// earlier side is sent to the quicker of two, so a version that is as good ranks at 0.43 or so.
-constexpr double onBar = 0.36, backBar = 0.3, sure = 0.95, certainly = 0.99;
+// Bars below the sidecar's own: the share goes to a few pods whose pace is not known yet, loaded like the
+// rest, while the earlier side is sent to the quicker of several; a version that is as good ranks at 0.34 to
+// 0.45, one of whose answers half are eight times slower at 0.26.
+constexpr double onBar = 0.29, backBar = 0.3, sure = 0.95, certainly = 0.99;
 constexpr double perhaps = 0.7;      // that a route is worse: enough against going on
 constexpr double failMargin = 0.08;  // failures that a version may have more than the earlier one
 constexpr double lateMargin = 0.25;  // answers far too late, likewise
--- a/src/verdict/stages.cpp
+++ b/src/verdict/stages.cpp
@@ -19,8 +19,8 @@
         return Move{false, false, "voters"};
     if (stage == rehearsal && on && inStage >= rehearsed)
         return Move{false, false, "voters, after the rehearsal"};
-    if (stage == all && inStage >= moved) return Move{true, false, "all traffic held"};
-    if (stage < all && elapsed >= term - undecided) return Move{false, true, "undecided at its term"};
+    if (stage == all && on && inStage >= moved) return Move{true, false, "voters, with all traffic"};
+    if (elapsed >= term - undecided) return Move{false, true, "undecided at its term"};
     return std::nullopt;
 }
 
