Rollouts: the watch begins with a part of the slack, on warm pods, loaded like the rest

Change: warm pods only, two windows a second, an earlier pod's load from the share and 0.7 of the slack; bars 0.25 and 0.2, lateness judged as failures are.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "company/company.hpp"
 
@@ -9,11 +10,13 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
-constexpr double budgetPart = 0.85;     // of the fleet's budget that foyers spend, each by its own share
-constexpr double hedgePart = 0.5;       // of that, which second sends beside one that is out may take
-constexpr double sharePart = 0.45;      // of the share that a version on trial may have, while it is watched
-constexpr Nanos focusFor = 2 * second;  // the watch's share goes to the same few pods
-constexpr double rehearsalPart = 0.9;   // of it, that the watch and the rehearsal may come to
+constexpr double budgetPart = 0.85;    // of the fleet's budget that foyers spend, each by its own share
+constexpr double hedgePart = 0.5;      // of that, which second sends beside one that is out may take
+constexpr double sharePart = 0.45;     // of the share that a version on trial may have, while it is watched
+constexpr double slackPart = 0.7;      // of the sends beyond the share, to begin the watch with
+constexpr double grantAtMost = 4;      // of these at one foyer, which may not know of others yet
+constexpr Nanos focusFor = 500 * ms;   // the watch's share goes to the same few pods
+constexpr double rehearsalPart = 0.9;  // of it, that the watch and the rehearsal may come to
 constexpr Nanos rehearsalFor = 600 * ms;
 constexpr double creditAtMost = 1.5;     // sends to it that may be saved up
 constexpr Nanos skipFirst = 2 * second;  // of a pod's life nothing counts for a version
@@ -70,8 +73,9 @@
 };
 
 struct Casting::Trial {
-    double credit = 0;
-    double sent = 0, all = 0;  // to it, and to its service, since the order is known here
+    double credit = 0;               // sends that it may have now
+    double granted = 0, unused = 0;  // sends beyond its share; of these, not yet credited
+    double sent = 0, all = 0;        // to it, and to its service, since the order is known here
     int stage = 0;
     Nanos staged = 0;  // since when
     std::uint32_t fresh = 0, bad = 0;
@@ -83,6 +87,7 @@
       ratio_(boot.budgetRatio),
       slack_(boot.budgetSlack),
       share_(boot.exposureShare),
+      beyond_(boot.exposureSlack),
       window_(boot.budgetWindow),
       chance_(seed) {}
 
@@ -116,11 +121,20 @@
 }
 
 void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos now) {
-    rollouts_ = std::move(rollouts), rolloutsKnown_ = true;
+    const bool here = std::exchange(rolloutsKnown_, true);  // else an order may have been granted before
+    rollouts_ = std::move(rollouts);
     for (const auto& rollout : rollouts_) {
         settled_[rollout.service].erase(rollout.target);
         auto& trial = trials_[rollout.service + "\n" + rollout.target];
-        if (!trial) trial = std::make_shared<Trial>();
+        if (!trial) {
+            // The rule lets a few more than the share go there over the whole fleet. Where few requests come
+            // the share alone brings too few outcomes within a term; chance spreads a grant of less than one.
+            trial = std::make_shared<Trial>();
+            const double grant = beyond_ * slackPart / static_cast<double>(foyers_) +
+                                 static_cast<double>(chance_() % 1000) / 1000;
+            if (here && rollout.running()) trial->granted = std::floor(std::min(grant, grantAtMost));
+            trial->unused = trial->granted;
+        }
         if (rollout.stage != trial->stage) trial->stage = rollout.stage, trial->staged = now;
     }
     for (auto& [service, versions] : settled_) {
@@ -191,16 +205,27 @@
            request.deadline - now > leastLeft;
 }
 
+bool Casting::warm(const Actor& actor, Nanos now) const {
+    return now - actor.since >= skipFirst && now >= actor.warmUntil;
+}
+
 // A share that is spread over as many new pods as there are old ones never loads one, and what fails only
 // under load would show with all traffic. So all foyers send it to the same few at a time, as many as it
-// loads like the rest, and to others every two seconds: their paces differ.
+// loads like the rest, and to others twice a second: their paces differ. Pods whose outcomes do not count yet
+// get none of it.
+std::size_t Casting::few(std::size_t pods) const {
+    return static_cast<std::size_t>(std::ceil(static_cast<double>(pods) * share_ * sharePart));
+}
+
 void Casting::focus(Places& near, Places& far, const std::string& target, Nanos now) const {
     std::vector<std::string> names;
+    const auto count = few(near.size() + far.size());
+    for (auto* place : {&near, &far})
+        std::erase_if(*place, [&](const auto* actor) { return !warm(**actor, now); });
     for (const auto* place : {&near, &far})
         for (const auto* actor : *place) names.push_back((*actor)->listed.id);
-    const auto few = static_cast<std::size_t>(static_cast<double>(names.size()) * share_ * sharePart);
     const auto turn = (now + offset_) / focusFor;
-    const auto chosen = company::chosen(names, target + std::to_string(turn), std::max<std::size_t>(few, 1));
+    const auto chosen = company::chosen(names, target + std::to_string(turn), count);
     for (auto* place : {&near, &far})
         std::erase_if(*place, [&](const auto* actor) {
             return std::find(chosen.begin(), chosen.end(), (*actor)->listed.id) == chosen.end();
@@ -240,18 +265,24 @@
     for (const auto& rollout : rollouts_) {
         if (rollout.service != request.service || !rollout.running()) continue;
         auto& trial = *trials_[rollout.service + "\n" + rollout.target];
-        const bool there = std::any_of(near[1].begin(), near[1].end(), isOf(rollout.target)) ||
-                           std::any_of(far[1].begin(), far[1].end(), isOf(rollout.target));
+        std::size_t there = 0, warmed = 0;
+        for (const auto* place : {&near[1], &far[1]})
+            for (const auto* actor : *place)
+                if (isOf(rollout.target)(actor)) ++there, warmed += warm(**actor, now);
         const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
         ++trial.all;
-        if (stopped || !there) continue;
+        if (stopped || there == 0) continue;
         // The rehearsal: all of the requests for a moment, within what the share has left unused so far. What
         // fails only under load shows here, before it may have all.
         const bool rehearsing = rollout.stage == 1 && now - trial.staged < rehearsalFor &&
-                                trial.sent + 1 <= trial.all * share_ * rehearsalPart;
+                                trial.sent + 1 <= trial.all * share_ * rehearsalPart + trial.granted;
         if (!target && (rollout.stage > 1 || rehearsing)) target = &rollout.target;
-        if (rollout.stage > 1 || rehearsing || further) continue;
-        trial.credit = std::min(trial.credit + share_ * sharePart, creditAtMost);
+        if (rollout.stage > 1 || rehearsing || further || warmed == 0) continue;
+        // The few get what an earlier pod gets: of the share, and of the grant what that lacks.
+        const double fair = static_cast<double>(few(there)) / static_cast<double>(there);
+        const double steady = std::min(share_ * sharePart, fair);
+        const double more = std::min(fair - steady, trial.unused);
+        if (trial.credit < creditAtMost) trial.credit += steady + more, trial.unused -= more;
         if (trial.credit >= 1) trial.credit -= 1, target = &rollout.target, watched = true;
     }
     const std::size_t from = target ? 1 : 0;
@@ -322,7 +353,7 @@
         typical += learn * (static_cast<double>(took) - typical);
         if (now >= actor.warmUntil) actor.pace += learn * (std::clamp(ratio, 0.2, 5.0) - actor.pace);
     }
-    if (surelyNotRun(end) || now - actor.since < skipFirst) return;
+    if (surelyNotRun(end) || !warm(actor, now)) return;
     for (const auto& rollout : rollouts_) {
         if (rollout.service != actor.listed.service || !rollout.running()) continue;
         const bool fresh = rollout.target == actor.listed.version;
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -117,6 +117,8 @@
     enum class Side { none, earlier, fresh };
     Side side(const Actor& actor) const;
     using Places = std::vector<const std::shared_ptr<Actor>*>;
+    bool warm(const Actor& actor, Nanos now) const;  // its outcomes count for a version
+    std::size_t few(std::size_t pods) const;
     void focus(Places& near, Places& far, const std::string& target, Nanos now) const;
     double cost(const Actor& actor, const Try& request, Nanos now) const;
     bool usable(const Actor& actor, Nanos now) const;
@@ -124,7 +126,7 @@
     Trial* trial(const std::string& service);
 
     std::string zone_;
-    double ratio_, slack_, share_;
+    double ratio_, slack_, share_, beyond_;
     Nanos window_;
     std::mt19937_64 chance_;
     std::size_t foyers_ = 1;
--- a/src/verdict/rollout.cpp
+++ b/src/verdict/rollout.cpp
@@ -10,17 +10,23 @@
 constexpr double leastOutcomes = 20;  // of each side, for ranks
 constexpr double leastFailing = 6;    // of the new side, where failures alone speak
 // Bars below the sidecar's own: the share goes to a few pods whose pace is not known yet, loaded like the
-// rest, while the earlier side is sent to the quicker of several; a version that is as good ranks at 0.34 to
-// 0.45, one of whose answers half are eight times slower at 0.26.
-constexpr double onBar = 0.29, backBar = 0.3, sure = 0.95, certainly = 0.99;
+// rest, while the earlier side is sent to the quicker of several; a version that is as good ranks at 0.25 to
+// 0.45, as its pods happen to be. One of whose answers half are eight times slower shows by those that come
+// late, which hardly depends on a pod's pace.
+constexpr double onBar = 0.25, backBar = 0.2, sure = 0.95, certainly = 0.99;
 constexpr double perhaps = 0.7;      // that a route is worse: enough against going on
 constexpr double failMargin = 0.08;  // failures that a version may have more than the earlier one
-constexpr double lateMargin = 0.25;  // answers far too late, likewise
+constexpr double lateMargin = 0.15;  // answers late, likewise
 constexpr int draws = 200;
 constexpr int lastBin = rolloutBins - 1;
+constexpr int lateBins = 3;  // the last ones: later than 1.4 targets
 
 Bins binsOf(const Counts& counts) { return {counts.bins.begin(), counts.bins.end()}; }
 
+double late(const Counts& counts) {
+    return std::accumulate(counts.bins.end() - lateBins, counts.bins.end(), 0.0);
+}
+
 void add(Counts& into, const Counts& more) {
     for (int bin = 0; bin < rolloutBins; ++bin) into.bins[bin] += more.bins[bin];
     into.bad += more.bad;
@@ -35,7 +41,7 @@
                rankTest(inTwo(x, n), inTwo(y, m), 0.5 - margin / 2, draws, chance).upperChance < 1 - certain;
     };
     return more(fresh.bad, earlier.bad, failMargin, leastFailing) ||
-           more(fresh.bins[lastBin], earlier.bins[lastBin], lateMargin, leastFailing) ||
+           more(late(fresh), late(earlier), lateMargin, leastFailing) ||
            (n >= leastOutcomes && m >= leastOutcomes &&
             rankTest(binsOf(fresh), binsOf(earlier), backBar, draws, chance).upperChance < 1 - sure);
 }
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(sendsAgain);
     CPPUNIT_TEST(budget);
     CPPUNIT_TEST(exposure);
+    CPPUNIT_TEST(fewRequests);
     CPPUNIT_TEST(twoOrders);
     CPPUNIT_TEST(versions);
     CPPUNIT_TEST(leaving);
@@ -160,6 +161,33 @@
         CPPUNIT_ASSERT(fresh < 60);  // until 0.3 of those it has seen are bad
     }
 
+    // EXPOSURE: where few requests come, a part of what the rule lets go beyond the share begins the watch,
+    // no quicker than an earlier pod is sent requests; a foyer that starts in the middle is granted none.
+    void fewRequests() {
+        std::string seen;
+        for (const bool there : {true, false}) {
+            Room room(6);
+            for (int at = 0; at < 6; ++at) room.list("n" + std::to_string(at), "v2");
+            if (there) room.room->rollouts({}, room.now);
+            room.room->company(12);
+            room.rollout("in_progress");
+            room.now += 3 * second;
+            seen += there ? "there at the order:" : "started since:";
+            for (int part = 0; part < 4; ++part) {
+                int fresh = 0;
+                for (int at = 0; at < 12; ++at) {
+                    room.now += 270 * ms;
+                    auto request = room.begin(writing);
+                    fresh += room.send(request)[0] == 'n';
+                    room.end(request, End::answered);
+                }
+                seen += " " + std::to_string(fresh);
+            }
+            seen += " of 12 each\n";
+        }
+        approve("casting-few-requests", seen);
+    }
+
     // Two orders of one service at once: while one has all traffic, the other keeps to its own share.
     void twoOrders() {
         Room room;
@@ -168,6 +196,7 @@
         good.service = bad.service = "s", good.target = "v2", bad.target = "v3", good.stage = 2,
         good.number = 2, bad.number = 1;
         room.room->rollouts({bad, good}, room.now);
+        room.now += 3 * second;
         std::map<std::string, int> where;
         for (int at = 0; at < 1000; ++at) {
             room.now += 10 * ms;
@@ -200,6 +229,8 @@
         room.list("n", "v2"), room.list("m", "v2");
         see("nobody ordered v2", room);
         room.rollout("in_progress");
+        see("in progress, its pods not warm yet", room);
+        room.now += 3 * second;
         see("in progress", room);
         room.rollout("in_progress", 1, 2);
         see("rehearsal, within the share so far", room);
@@ -213,11 +244,11 @@
         see("rolled back", room);
         Room late(0);  // a foyer that starts while both are there
         late.rollout("in_progress");
-        late.list("n", "v2"), late.list("p", "v1");
+        late.list("n", "v2"), late.list("p", "v1"), late.now += 3 * second;
         see("started in the middle", late);
         Room known(0);  // the list came before the order was known
         known.list("n", "v2"), known.list("p", "v1");
-        known.rollout("in_progress");
+        known.rollout("in_progress"), known.now += 3 * second;
         see("order known late", known);
         approve("casting-versions", seen);
     }
