Links: a dial waits 150 ms first, then longer

Change: 150 ms for the first connection, doubled up to 900 ms. No test: it would have to wait for time.

--- a/src/wings/link.cpp
+++ b/src/wings/link.cpp
@@ -12,6 +12,9 @@
 constexpr Nanos beatEvery = 600 * ms;
 constexpr Nanos silentAfter = 2100 * ms;  // three beats
 constexpr Nanos dialWithin = 900 * ms, pauseAtMost = 800 * ms;
+// A machine that is down drops the opening packet, which is sent again after a second: a short first wait and
+// a new connection find it sooner once it is back.
+constexpr Nanos dialFirst = 150 * ms;
 constexpr std::size_t messageAtMost = 80 << 20;
 const std::string beatBytes = "p\xf6";  // CBOR null
 
@@ -150,9 +153,10 @@
 Task<> Dialer::run() {
     const auto self = shared_from_this();
     const auto at = endpoint(address_);
+    Nanos patience = dialFirst;
     for (Nanos pause = 50 * ms; !stopped_; pause = std::min(pause * 2, pauseAtMost)) {
         beast::tcp_stream dialled(io_);
-        dialled.expires_after(span(dialWithin));
+        dialled.expires_after(span(std::exchange(patience, std::min(patience * 2, dialWithin))));
         Code code;
         co_await dialled.async_connect(at, told(code));
         if (!code) {
@@ -163,7 +167,7 @@
             co_await ws.async_handshake(address_, "/", told(code));
             if (!code && !stopped_) {
                 beast::get_lowest_layer(ws).expires_never();
-                pause = 25 * ms;
+                pause = 25 * ms, patience = dialFirst;
                 link_ = link;
                 co_await link->run(owner_);
             }
