Casting: a full own zone counts by how much longer it makes requests wait than others

Change: the wait that pods report is kept by zone; what the own zone has beyond the quietest other one by more than 0.3 of a usual answer is added to its pods without a fresh word.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -23,7 +23,10 @@
 constexpr Nanos skipFirst = 2 * second;  // of a pod's life nothing counts for a version
 constexpr double otherZone = 0.5;        // what a pod in another zone costs more, in usual answers
 constexpr double coldPace = 2;           // a pod that warms up is so much slower
-constexpr Nanos reportFades = 400 * ms;
+constexpr double reportFades = 400.0 * ms;
+constexpr double crowdUsual =
+    0.3;  // a difference that moves nothing to another zone: bytes between zones are priced
+constexpr double crowdLearn = 0.03;    // weight of the newest report in its zone's usual wait
 constexpr Nanos muteAfter = 900 * ms;  // a pod that owes answers so long gets no more while others can
 constexpr Nanos restFirst = 200 * ms, restAtMost = 4 * second, restTurned = 120 * ms;
 constexpr int cutsInRow = 3;    // before a pod that breaks answers off rests
@@ -188,13 +191,30 @@
     return most;
 }
 
+// By how much longer pods of the own zone have made requests wait than those of the quietest other one.
+double Casting::crowding(const std::string& service) const {
+    const auto own = crowds_.find({service, zone_});
+    if (own == crowds_.end()) return 0;
+    double least = own->second;
+    for (auto at = crowds_.lower_bound({service, ""}); at != crowds_.end() && at->first.first == service;
+         ++at)
+        least = std::min(least, at->second);
+    return std::max(0.0, own->second - least - crowdUsual);
+}
+
 double Casting::cost(const Actor& actor, Nanos now) const {
-    const double age = static_cast<double>(now - actor.heldAt) / static_cast<double>(reportFades);
-    const double others = std::max(0, actor.held - actor.heldOut) * std::exp(-age);
-    const double load = actor.out + others, slots = std::max(actor.listed.slots, 1);
-    const double wait = std::max(0.0, load + 1 - slots) / slots + 0.15 * load / slots;
+    const double slots = std::max(actor.listed.slots, 1);
+    const auto wait = [&](double load) {
+        return std::max(0.0, load + 1 - slots) / slots + 0.15 * load / slots;
+    };
+    // A pod's last word fades; then what pods of its zone have said of late stands for it. One foyer of many
+    // hears of a pod every few seconds at best, and would take its own full zone for an empty one.
+    const double fresh =
+        actor.heldAt == 0 ? 0 : std::exp(-static_cast<double>(now - actor.heldAt) / reportFades);
+    const double usual = actor.listed.zone == zone_ ? crowding(actor.listed.service) : 0;
+    const double told = wait(actor.out + fresh * std::max(0, actor.held - actor.heldOut));
     const double pace = actor.pace * (now < actor.warmUntil ? coldPace : 1);
-    return pace * (1 + wait) + (actor.listed.zone == zone_ ? 0 : otherZone);
+    return pace * (1 + told + (1 - fresh) * usual) + (actor.listed.zone == zone_ ? 0 : otherZone);
 }
 
 Casting::Budget& Casting::budget(const std::string& service) {
@@ -341,6 +361,10 @@
 
 void Casting::reported(Actor& actor, int running, int waiting, Nanos now) {
     actor.held = running + waiting, actor.heldOut = actor.out, actor.heldAt = now;
+    const double slots = std::max(actor.listed.slots, 1);
+    const double waits = std::max(0.0, running + waiting + 1 - slots) / slots;
+    auto& crowd = crowds_.try_emplace({actor.listed.service, actor.listed.zone}, waits).first->second;
+    crowd += crowdLearn * (waits - crowd);
 }
 
 void Casting::ended(Try& request, Actor& actor, End end, int status, Nanos took, Nanos now) {
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -123,6 +123,7 @@
     bool warm(const Actor& actor, Nanos now) const;  // its outcomes count for a version
     std::size_t few(std::size_t pods) const;
     void focus(Places& near, Places& far, const std::string& target, Nanos now) const;
+    double crowding(const std::string& service) const;
     double cost(const Actor& actor, Nanos now) const;
     std::size_t sharers(Nanos now) const;
     bool usable(const Actor& actor, Nanos now) const;
@@ -141,7 +142,9 @@
     std::map<std::string, std::shared_ptr<Budget>> budgets_;
     std::map<std::string, std::shared_ptr<Trial>> trials_;  // by service and target
     std::map<std::string, std::set<std::string>> settled_;  // versions that no order brought, by service
-    std::map<std::string, double> typical_;                 // by route: an answer's usual time, ns
+    std::map<std::pair<std::string, std::string>, double>
+        crowds_;                             // by service and zone: the usual wait there
+    std::map<std::string, double> typical_;  // by route: an answer's usual time, ns
     std::vector<cues::Rollout> rollouts_;
     std::uint64_t bad_ = 0;
     Nanos offset_ = 0;
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(neverBack);
     CPPUNIT_TEST(silence);
+    CPPUNIT_TEST(fullZone);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -279,6 +280,29 @@
         CPPUNIT_ASSERT_EQUAL(9u, room.room->playbill()->version);
     }
 
+    // Many pods, each heard of now and then: where those of the own zone make requests wait and others do
+    // not, a part goes there; where all wait alike, hardly any.
+    void fullZone() {
+        std::string seen;
+        for (const auto& [near, far] : std::vector<std::pair<int, int>>{{0, 0}, {3, 0}, {3, 3}, {0, 3}}) {
+            Room room(0);
+            for (int at = 0; at < 40; ++at) room.list("n" + std::to_string(at));
+            for (int at = 0; at < 40; ++at) room.list("f" + std::to_string(at), "v1", false, "y");
+            int others = 0;
+            for (int at = 0; at < 2000; ++at) {
+                room.now += 60 * ms;
+                auto request = room.begin(writing);
+                const bool other = room.send(request)[0] == 'f';
+                others += at >= 1000 && other;
+                room.room->reported(*room.last, 3, other ? far : near, room.now);
+                room.end(request, End::answered);
+            }
+            seen += "waiting in the own zone " + std::to_string(near) + ", elsewhere " + std::to_string(far) +
+                    ": " + std::to_string((others + 5) / 10) + " of 100 go elsewhere\n";
+        }
+        approve("casting-full-zone", seen);
+    }
+
     // A pod that owes answers for long gets no more while others can; when it answers, it does again.
     void silence() {
         Room room(2);
