--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -35,7 +35,6 @@
           probes(listen(io, boot.readiness)),
           doors(listen(io, boot.internal(boot.ip))) {
         life = (static_cast<std::uint64_t>(seed) << 20) ^ static_cast<std::uint64_t>(wallMillis());
-        if (!boot.heartbeat.empty()) heartbeat = playbill::span(boot.heartbeat);
         casting.common(wallMillis() * ms - now());
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link& link) { return greet(link); };
@@ -71,7 +70,7 @@
             link.kind = message.at("kind").get<std::string>();
             if (link.kind == "prompter")
                 for (const auto& member : message.at("members")) dial(member.get<std::string>());
-            else link.pace(heartbeat);
+            else link.pace(boot.heartbeat);
         } else if (kind == "roster") {
             rosters[link.peer] = message.at("foyers").get<std::map<std::string, std::string>>();
             enrol();
@@ -153,7 +152,7 @@
     // Neighbours compare what they hold.
     Task<> watch() {
         for (;;) {
-            co_await sleep(heartbeat);
+            co_await sleep(boot.heartbeat);
             const auto packed = Link::pack(board.digest());
             for (const auto& name : watching)
                 if (const auto peer = peers.find(foyers.at(name)); peer != peers.end())
@@ -372,7 +371,7 @@
                                 },
                                 [this](const troupe::Event& event) { casting.apply(event, now()); }}};
     std::vector<std::string> watching;  // foyers
-    Nanos heartbeat = 1500 * ms, turned = now(), doubtUntil = 0;
+    Nanos turned = now(), doubtUntil = 0;
     bool leaving = false, counting = false;
 };
 
--- a/src/playbill/boot.cpp
+++ b/src/playbill/boot.cpp
@@ -58,6 +58,14 @@
     BOOT_SETTINGS(X)
 #undef X
     if (boot.internalPorts.empty()) throw std::runtime_error("settings: /internal_ports is empty");
+    if (!boot.heartbeatText.empty()) {
+        try {
+            boot.heartbeat = span(boot.heartbeatText);
+        } catch (const std::invalid_argument& wrong) {
+            throw std::runtime_error(std::string("settings: /heartbeat: ") + wrong.what());
+        }
+        if (boot.heartbeat <= 0) throw std::runtime_error("settings: /heartbeat must be above 0");
+    }
     if (const auto bounds = told.find("bounds"); bounds != told.end()) {
         if (bounds->is_string())
             for (const auto text : split(bounds->get_ref<const std::string&>(), ',')) bound(boot, text);
--- a/src/playbill/boot.hpp
+++ b/src/playbill/boot.hpp
@@ -20,7 +20,7 @@
     X(seeds, std::vector<std::string>, "/seed_nodes", true)           \
     X(bootstrap, bool, "/bootstrap", false)                           \
     X(quorumMember, bool, "/quorum_member", false)                    \
-    X(heartbeat, std::string, "/heartbeat", false)                    \
+    X(heartbeatText, std::string, "/heartbeat", false)                \
     X(dataDir, std::string, "/data_dir", false)                       \
     X(diskMegabytes, int, "/limits/disk_mb", false)                   \
     X(machinesLost, int, "/fault_tolerance/machines", false)          \
@@ -51,6 +51,8 @@
     BOOT_BOUNDS(X)
 #undef X
 
+    Nanos heartbeat = 1500 * 1'000'000ll;  // between two words of sidecars that watch each other; above 0
+
     // Of the process itself, and of any machine, by its IP: sidecars talk on the first internal port.
     std::string internal(const std::string& ip) const;
 
--- a/tests/fuzz/gateway.cpp
+++ b/tests/fuzz/gateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cstdlib>
 
+#include "callboard/callboard.hpp"
 #include "cues/cues.hpp"
 #include "playbill/boot.hpp"
 #include "playbill/playbill.hpp"
@@ -82,6 +83,40 @@
     }
 }
 
+// News in any order: nothing goes back, and what one copy holds another can be mended to.
+void news(std::string_view bytes) {
+    using callboard::Callboard;
+    Json messages;
+    try {
+        messages = Json::from_cbor(bytes, true, false);
+    } catch (const Json::exception&) {
+        return;
+    }
+    if (!messages.is_array()) return;
+    Callboard board{{}};
+    std::uint32_t version = 0;
+    Nanos now = 1'000'000'000;
+    for (const auto& message : messages) {
+        try {
+            if (message.is_object())
+                board.heard(message, Callboard::From::prompter, now += 1'000'000'000, [](const Json&) {});
+        } catch (const Json::exception&) {  // a link ends there
+        }
+        insist(board.version() >= version);
+        version = board.version();
+        for (const auto& [id, _] : board.troupe().members()) insist(!board.troupe().left(id));
+    }
+    Callboard other{{}};
+    std::vector<Json> wants;
+    other.heard(board.digest(), Callboard::From::prompter, now, [&](Json want) { wants.push_back(want); });
+    for (const auto& want : wants)
+        board.heard(want, Callboard::From::follower, now, [&](const Json& answer) {
+            other.heard(answer, Callboard::From::prompter, now, [](const Json&) {});
+        });
+    insist(other.version() == board.version());
+    if (board.listed()) insist(other.digest() == board.digest());
+}
+
 void squeezed(std::string_view bytes) {
     insist(wings::unsqueeze(wings::squeeze(bytes)) == bytes);
     try {
@@ -109,7 +144,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     if (size == 0) return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-    switch (data[0] % 7) {
+    switch (data[0] % 8) {
         case 0:
             configuration(bytes);
             break;
@@ -128,8 +163,11 @@
         case 5:
             squeezed(bytes);
             break;
-        default:
+        case 6:
             request(bytes);
+            break;
+        default:
+            news(bytes);
     }
     return 0;
 }
@@ -143,6 +181,20 @@
     Json::to_cbor(cues::write(totals), cbor);
     std::string cell;
     Json::to_cbor(cues::write(reg::Cell{{3, 1}, {2, 9}, "value"}), cell);
+    callboard::Callboard board{{}};
+    board.configuration(7, "seven");
+    board.rollouts(3, "[]");
+    Json told = Json::array();
+    const auto pod = [](const char* id, bool draining) {
+        return troupe::Member{id, "s", "1.1.1.1:1", "z", "v1", 2, draining, 0};
+    };
+    told.push_back(board.list({pod("i-1", false), pod("i-2", true)}, 1000));
+    told.push_back(board.digest());
+    told.push_back({{"t", "configuration"}, {"version", 7}, {"squeezed", cues::writeText("seven")}});
+    told.push_back(board.order());
+    told.push_back(board.list({pod("i-2", true), pod("i-3", false)}, 2000));
+    std::string heard;
+    Json::to_cbor(told, heard);
     cues::Rollout order;
     order.service = "s", order.target = "v2";
     const std::vector<std::string> seeds{
@@ -158,6 +210,7 @@
             3,
             R"({"service_name":"s","address":"1.1.1.1:1","zone":"z","config_version":"v1","capacity_slots":2,"state":"ready","warmup_left":"10ms","instance_id":"i"})"),
         seed(4, cues::write(std::vector{order})),
+        seed(7, heard),
         seed(5, wings::squeeze(std::string(3000, 'x') + "yz")),
         seed(6, "POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"),
         seed(6, "POST /p/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")};
--- a/tests/gateway/playbill.cpp
+++ b/tests/gateway/playbill.cpp
@@ -127,6 +127,8 @@
                  {"bound without a number",
                   R"({"node_name":"n",)" + rest + R"(,"bounds":["retry_slack=many"]})"},
                  {"bound without a unit", R"({"node_name":"n",)" + rest + R"(,"bounds":["drain=25"]})"},
+                 {"heartbeat without a unit", R"({"node_name":"n","heartbeat":"15",)" + rest + "}"},
+                 {"heartbeat of nothing", R"({"node_name":"n","heartbeat":"0ms",)" + rest + "}"},
                  {"no JSON", "node_name=n"}}) {
             try {
                 const auto boot = Boot::read(text);
