--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -146,7 +146,7 @@
         for (const auto& actor : byService_[service]) {
             const auto& version = actor->listed.version;
             if (std::none_of(rollouts_.begin(), rollouts_.end(), [&](const auto& rollout) {
-                    return rollout.service == service && rollout.target == version;
+                    return rollout.service == actor->listed.service && rollout.target == version;
                 }))
                 versions.insert(version);
         }
