--- a/src/command/gateway.cpp
+++ b/src/command/gateway.cpp
@@ -1,5 +1,7 @@
 // The gateway's command line: its two programs, and tools beside them. Exit status 0: done; 1: refused or
 // failed, with a line on standard error for each mistake; 2: the words of the call are wrong.
+#include "command/gateway.hpp"
+
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <fstream>
@@ -10,9 +12,7 @@
 #include "command/status.hpp"
 #include "foyer/foyer.hpp"
 #include "playbill/playbill.hpp"
-#include "promptbook/promptbook.hpp"
 #include "prompter/prompter.hpp"
-#include "wings/pack.hpp"
 
 namespace {
 
@@ -30,37 +30,6 @@
     return bytes.str();
 }
 
-std::string text(const reg::Ballot& ballot) {
-    return std::to_string(ballot.round) + "." + std::to_string(ballot.writer);
-}
-
-// A stopped prompter's book: opened as it is, each record's checksum looked at.
-void book(const std::string& folder, const std::string& what) {
-    if (!std::ifstream(folder + "/data.mdb")) throw std::runtime_error("no book in " + folder);
-    const promptbook::Promptbook opened(folder, std::size_t{1} << 30);
-    const auto cells = opened.cells();
-    if (what == "check") {
-        std::printf("%zu keys, all checksums right, members %s\n", cells.size(),
-                    opened.note("members").c_str());
-        return;
-    }
-    for (const auto& [key, cell] : cells) {
-        const bool configuration = key == "configuration" && cell.value.size() > 8;
-        const auto value =
-            configuration ? wings::unsqueeze(std::string_view(cell.value).substr(8)) : cell.value;
-        if (what == "export") {
-            if (configuration) std::printf("%s\n", value.c_str());
-            continue;
-        }
-        std::printf("%s: accepted %s, promised %s, %zu bytes on disk", key.c_str(),
-                    text(cell.accepted).c_str(), text(cell.promised).c_str(), cell.value.size());
-        if (configuration)
-            std::printf(", version %s, %zu bytes as sent\n", cell.value.substr(0, 8).c_str(), value.size());
-        else std::printf("\n%s%s", value.c_str(), value.empty() ? "" : "\n");
-    }
-    if (what == "show") std::printf("members: %s\n", opened.note("members").c_str());
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -100,12 +69,8 @@
     explain->footer("Example:\n  lichenlanding-gateway explain config.json shop.example /orders/7");
     explain->callback(
         [&] { chosen = [&] { std::fputs(playbill::explain(contents(file), host, path).c_str(), stdout); }; });
-    auto* promptbook = app.add_subcommand("promptbook", "a stopped prompter's disk");
-    promptbook->add_option("what", what, "show, check, or export (the configuration as it was sent)")
-        ->required()
-        ->check(CLI::IsMember({"show", "check", "export"}));
-    promptbook->add_option("folder", file, "the book's folder, data_dir/promptbook")->required();
-    promptbook->callback([&] { chosen = [&] { book(file, what); }; });
+    command::addPromptbook(app, chosen);
+    command::addRehearse(app, chosen);
     auto* status = app.add_subcommand("status", "what a running prompter knows");
     status->add_option("address", address, "its control address, such as 10.1.0.16:8166")->required();
     status->add_flag("--json", json, "as it comes");
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -117,9 +117,19 @@
 Json Keeper::greeting() const {
     Json members = Json::array();
     for (const auto& member : members_.empty() ? candidates_ : members_) members.push_back(member);
-    return members;
+    return {{"members", std::move(members)}, {"formed", formed()}};
 }
 
+bool Keeper::inContact() const {
+    std::size_t heard = members_.contains(me_);
+    for (const auto& [address, _] : links_) heard += members_.contains(address);
+    return formed() && heard >= size_ / 2 + 1;
+}
+
+Json Keeper::describe() const { return {{"members", members_}, {"contact", inContact()}}; }
+
+Task<> Keeper::leave() { co_return; }
+
 void Keeper::greeted(const Json& hello) {
     const auto members = hello.at("members").get<std::set<std::string>>();
     const bool theirs = hello.at("formed").get<bool>();
@@ -329,7 +339,7 @@
 // A disk that came back empty: register.hpp tells why each key is written anew by the others first.
 Task<> Keeper::rejoin() {
     Errand errand;
-    for (const auto& key : {configurationKey, rolloutsKey}) {
+    for (const auto& key : keys) {
         std::optional<std::string> value;
         while (!value) value = co_await change(key, asItIs, second, false);
         const auto& known = this->known(key);
@@ -348,12 +358,12 @@
 
 Task<> Keeper::tend() {
     bool rejoining = false;
-    std::set<std::string> first{configurationKey, rolloutsKey};  // nothing is known yet at a start
+    std::set<std::string> first(keys.begin(), keys.end());  // nothing is known yet at a start
     for (;;) {
         co_await sleep(tendEvery);
         if (!open_ || !formed()) continue;
         if (copy_.blank() && !fresh_ && !std::exchange(rejoining, true)) start(io_, "rejoin", rejoin());
-        for (const auto& key : {configurationKey, rolloutsKey}) {
+        for (const auto& key : keys) {
             const auto accepted = acceptedAt_.find(key);
             const bool unlearnt = accepted != acceptedAt_.end() && now() - accepted->second > unlearntFor;
             const auto rumour = rumoured_.find(key);
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -2,6 +2,7 @@
 // after a lost disk. The rules are src/register's; here are the disk's thread, messages and time.
 #pragma once
 
+#include <array>
 #include <boost/asio/thread_pool.hpp>
 #include <map>
 #include <optional>
@@ -18,7 +19,8 @@
 using wings::Link;
 using wings::Task;
 
-inline const std::string configurationKey = "configuration", rolloutsKey = "rollouts";
+inline const std::string configurationKey = "configuration", rolloutsKey = "rollouts", dutiesKey = "duties";
+inline const std::array<std::string, 3> keys{configurationKey, rolloutsKey, dutiesKey};
 
 class Keeper {
   public:
@@ -42,8 +44,8 @@
     // A link to a member is open; `to` is its address. Replies come back on it.
     void joined(const std::string& to, std::shared_ptr<Link> link);
     void parted(const std::string& to);
-    Json greeting() const;  // what others need to find all members
-    void greeted(const Json& hello);
+    Json greeting() const;  // fields of a hello: what others need to find all members ("members": addresses)
+    void greeted(const Json& hello);  // another prompter's
 
     // Null where no majority could be had in time.
     // `look`: first see whether a majority agrees on a value that needs no change.
@@ -52,6 +54,11 @@
     Task<std::optional<std::string>> read(std::string key, Nanos within);
 
     const Known& known(const std::string& key) const;
+    // Whether a majority of the members has answered of late. Out of contact nothing is confirmed, no duty is
+    // kept, and what is told to foyers is told as not sure. change() and read() then end at once with null.
+    bool inContact() const;
+    Json describe() const;  // for `status`: epoch, members, contact, what is not borne
+    Task<> leave();         // before an end by SIGTERM: hands the membership on where another stands by
     bool formed() const { return members_.size() == size_; }
     bool blank() const { return copy_.blank(); }
     const std::set<std::string>& members() const { return members_; }  // addresses
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -71,8 +71,9 @@
     std::string me() const { return boot.internal(boot.ip); }
 
     Json greet(Link&) {
-        return {{"t", "hello"}, {"kind", "prompter"},           {"name", boot.name},
-                {"at", me()},   {"members", keeper.greeting()}, {"formed", keeper.formed()}};
+        auto hello = keeper.greeting();
+        hello.update({{"t", "hello"}, {"kind", "prompter"}, {"name", boot.name}, {"at", me()}});
+        return hello;
     }
 
     void dial(const std::string& address) {
@@ -200,7 +201,7 @@
         for (;;) {
             co_await sleep(tellKnownEvery);
             Json ballots = Json::object();
-            for (const auto& key : {configurationKey, rolloutsKey})
+            for (const auto& key : keys)
                 if (const auto& known = keeper.known(key); known.ballot.round > 0)
                     ballots[key] = cues::write(known.ballot);
             const auto packed = Link::pack(Json{{"t", "known"}, {"ballots", std::move(ballots)}});
@@ -567,8 +568,11 @@
         signals(
             io,
             [this] {
-                log("left", {});
-                io.stop();
+                start(io, "leave", [](Prompter& self) -> Task<> {
+                    co_await self.keeper.leave();
+                    log("left", {});
+                    self.io.stop();
+                }(*this));
             },
             [this] {
                 try {
--- a/tests/gateway/keeper.cpp
+++ b/tests/gateway/keeper.cpp
@@ -62,8 +62,9 @@
             [this](bool) { return std::make_unique<ScriptedBook>(disk); });
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link&) {
-            return Json{
-                {"t", "hello"}, {"at", at()}, {"members", keeper->greeting()}, {"formed", keeper->formed()}};
+            auto hello = keeper->greeting();
+            hello.update({{"t", "hello"}, {"at", at()}});
+            return hello;
         };
         owner->heard = [this](Link& link, const Json& message) {
             if (message.at("t") != "hello") return void(keeper->heard(link, message));
