Prompter: the operator's calls, the list's and the rollouts' duty are each a part of their own

operator_calls, list_duty and rollouts_duty are classes that get what they need as arguments and callbacks; prompter.cpp keeps the wiring: links, greetings, cues, signals, status. No behaviour changes; the page of metrics counts pods and calls from the status that it shows anyway. Constants that nothing read are gone.

--- /dev/null
+++ b/src/prompter/list_duty.cpp
@@ -0,0 +1,103 @@
+#include "prompter/list_duty.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "cues/cues.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::prompter {
+
+using namespace wings;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr Nanos pollEvery = 500 * ms, pollWithin = 700 * ms, pollPause = 300 * ms;
+constexpr Nanos compareEvery = 5 * second;
+constexpr double listPart = 0.7;  // of the platform's calls a second that the list may take
+constexpr std::uint64_t bodyAtMost = 96 << 20;
+
+}  // namespace
+
+// Between two calls, if they are to stay within the platform's rate for all.
+Nanos ListDuty::callGap() const {
+    return boot_.listPerSecond > 0 ? static_cast<Nanos>(1e9 / (boot_.listPerSecond * listPart)) : 0;
+}
+
+Task<> ListDuty::poll() {
+    auto stream = std::make_shared<beast::tcp_stream>(io_);
+    beast::flat_buffer buffer;
+    bool connected = false;
+    for (;;) {
+        if (!held_()) {
+            board_.unlisted();
+            co_await sleep(pollPause / 3);
+            continue;
+        }
+        const Nanos started = now();
+        const auto asked = wallMillis();
+        std::vector<troupe::Member> members;
+        std::string token;
+        bool whole = false;
+        int pages = 0;
+        try {
+            for (int page = 0; page < 1000; ++page) {
+                stream->expires_after(span(pollWithin));
+                if (!connected) {
+                    co_await stream->async_connect(endpoint(boot_.list), asio::use_awaitable);
+                    tune(stream->socket(), 2 * second);
+                    connected = true, buffer.clear();
+                }
+                http::request<http::empty_body> request(
+                    http::verb::get, token.empty() ? "/instances" : "/instances?page_token=" + token, 11);
+                request.set(http::field::host, boot_.list);
+                co_await http::async_write(*stream, request, asio::use_awaitable);
+                http::response_parser<http::string_body> parser;
+                parser.body_limit(bodyAtMost);
+                co_await http::async_read(*stream, buffer, parser, asio::use_awaitable);
+                const auto& response = parser.get();
+                if (!response.keep_alive()) connected = false, stream->close();
+                ++pages, ++calls_;
+                if (response.result_int() == 429) {
+                    ++refused_;  // the same page again, when there is room
+                    log("list_refused", {{"step", "list"}, {"peer", boot_.list}, {"status", 429}});
+                    --page;
+                    co_await sleep(callGap() * 2);
+                    continue;
+                }
+                if (response.result_int() != 200)
+                    throw std::runtime_error("status " + std::to_string(response.result_int()));
+                const auto body = Json::parse(response.body());
+                for (const auto& entry : body.at("instance_list")) members.push_back(cues::listed(entry));
+                const auto next = body.find("next_token");
+                whole = next == body.end() || next->is_null();
+                if (whole) break;
+                token = next->get<std::string>();
+                co_await sleep(callGap() / 2);
+            }
+        } catch (const std::exception& error) {
+            log("list_failed", {{"step", "list"}, {"peer", boot_.list}, {"error", error.what()}});
+            stream->close();
+            stream = std::make_shared<beast::tcp_stream>(io_);
+            connected = false, whole = false;
+        }
+        if (whole) took(members, asked);
+        const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * pages);
+        co_await sleep(std::max(started + every - now(), 20 * ms));
+    }
+}
+
+void ListDuty::took(const std::vector<troupe::Member>& members, std::int64_t asked) {
+    const bool first = !board_.listed();
+    const auto change = board_.list(members, asked);
+    if (!change.is_null()) tell_(change);
+    // Now and then all of it is compared: what was missed by any way is mended.
+    if (!first && now() - compared_ < compareEvery) return;
+    compared_ = now();
+    tell_(board_.digest());
+}
+
+}  // namespace lichenlanding::prompter
--- /dev/null
+++ b/src/prompter/rollouts_duty.cpp
@@ -0,0 +1,87 @@
+#include "prompter/rollouts_duty.hpp"
+
+#include "company/company.hpp"
+#include "verdict/stages.hpp"
+#include "wings/log.hpp"
+
+namespace lichenlanding::prompter {
+
+using namespace wings;
+
+namespace {
+
+constexpr Nanos steerEvery = 200 * ms;
+constexpr Nanos decideWithin = 900 * ms;
+
+}  // namespace
+
+void RolloutsDuty::heard(const Json& vote) {
+    const auto key = vote.at("service").get<std::string>() + "\n" + vote.at("target").get<std::string>();
+    votes_[key][vote.at("from").get<std::string>()] = {static_cast<Verdict>(vote.at("verdict").get<int>()),
+                                                       vote.at("stage").get<int>(), now(), vote};
+}
+
+Json RolloutsDuty::votes() const {
+    Json told = Json::array();
+    for (const auto& [_, byVoter] : votes_)
+        for (const auto& [voter, vote] : byVoter)
+            if (now() - vote.at < verdict::voteLife) told.push_back(vote.about);
+    return told;
+}
+
+Task<> RolloutsDuty::steer() {
+    for (;;) {
+        co_await sleep(steerEvery);
+        if (!held_()) continue;
+        for (const auto& rollout : cues::readRollouts(keeper_.known(rolloutsKey).value))
+            if (rollout.running()) co_await steer(rollout);
+    }
+}
+
+Task<> RolloutsDuty::steer(cues::Rollout rollout) {
+    const auto key = rollout.service + "\n" + rollout.target;
+    const auto chosen = company::chosen(foyers_(), key, verdict::voterCount);
+    verdict::Ballots ballots;
+    ballots.voters = chosen.size();
+    Json said = Json::array();
+    for (const auto& voter : chosen) {
+        const auto at = votes_[key].find(voter);
+        if (at == votes_[key].end() || now() - at->second.at > verdict::voteLife) continue;
+        ballots.on += at->second.verdict == Verdict::on && at->second.stage == rollout.stage;
+        ballots.back += at->second.verdict == Verdict::back;
+        said.push_back(at->second.about);
+    }
+    const auto elapsed = wallMillis() - rollout.began;
+    const auto move =
+        verdict::nextMove(rollout.stage, ballots, elapsed, wallMillis() - rollout.moved, rollout.term);
+    if (!move) co_return;
+    auto to = rollout;
+    if (move->completed || move->rolledBack) to.state = move->completed ? "completed" : "rolled_back";
+    else ++to.stage, to.moved = wallMillis();
+    const char* why = move->why;
+    log("rollout", {{"service", to.service},
+                    {"target", to.target},
+                    {"state", to.state},
+                    {"stage", to.stage},
+                    {"why", why},
+                    {"elapsed_ms", elapsed},
+                    {"votes", said}});
+    // A local, not a temporary of the awaited call: GCC 12 destroys such a one twice.
+    const reg::Change decide = [rollout, to](const std::string& value) {
+        auto all = cues::readRollouts(value);
+        std::int64_t number = 0;
+        for (const auto& one : all) number = std::max(number, one.number);
+        bool changed = false;
+        for (auto& one : all) {
+            // What is decided stays decided, whoever else steers.
+            if (one.service != to.service || one.target != to.target || !one.running() ||
+                one.stage != rollout.stage)
+                continue;
+            one = to, one.number = number + 1, changed = true;
+        }
+        return changed ? cues::write(all) : value;
+    };
+    co_await keeper_.change(rolloutsKey, decide, decideWithin);
+}
+
+}  // namespace lichenlanding::prompter
--- /dev/null
+++ b/src/prompter/rollouts_duty.hpp
@@ -0,0 +1,37 @@
+// The duty for rollouts: foyers' votes are counted, and orders moved from stage to stage in the register.
+#pragma once
+
+#include "cues/cues.hpp"
+#include "prompter/keeper.hpp"
+#include "verdict/rollout.hpp"
+
+namespace lichenlanding::prompter {
+
+class RolloutsDuty {
+  public:
+    // `held`: whether the duty is this prompter's now; `foyers`: names of those that may vote. All outlive
+    // this.
+    RolloutsDuty(Keeper& keeper, std::function<bool()> held, std::function<std::vector<std::string>()> foyers)
+        : keeper_(keeper), held_(std::move(held)), foyers_(std::move(foyers)) {}
+
+    void heard(const Json& vote);  // a foyer's
+    Task<> steer();                // for good; off duty it only waits
+    Json votes() const;            // those that count now, for `status`
+
+  private:
+    struct Vote {
+        Verdict verdict = Verdict::none;
+        int stage = 0;
+        Nanos at = 0;
+        Json about;
+    };
+
+    Task<> steer(cues::Rollout rollout);
+
+    Keeper& keeper_;
+    std::function<bool()> held_;
+    std::function<std::vector<std::string>()> foyers_;
+    std::map<std::string, std::map<std::string, Vote>> votes_;  // by rollout and voter
+};
+
+}  // namespace lichenlanding::prompter
