Rehearse scale: real prompters before hundreds of hollow foyers, what each role costs

The tool starts real prompters and foyers as processes beside hollow foyers over real links and callboards, with stand-ins for the platform's list and the operator, and tells processor time, memory, bytes, messages and connections by role, and how fast news is.

--- /dev/null
+++ b/src/rehearsal/hollow.hpp
@@ -0,0 +1,19 @@
+// Hollow foyers: many to a process, each with its own address, links to every prompter and to the foyers it
+// watches, and a callboard. They say and hear what a foyer does, by the same rooms, and take no traffic. A
+// configuration counts as in force when its bytes are there: they are not read into routes.
+#pragma once
+
+#include "rehearsal/plan.hpp"
+
+namespace lichenlanding::rehearsal {
+
+// What a process of hollow foyers is told, as JSON: {"first", "count", "port", "seeds", "heartbeat_ms"}.
+// It tells what happens as JSON lines on standard error ("fact": "ready", "configuration", "pod", "link",
+// "tally"), takes "restart NAME" on standard input, and ends when that ends.
+void runHollow(const nlohmann::json& told);
+
+// The name and address of the n-th hollow foyer.
+std::string hollowName(std::int64_t n);
+std::string hollowAddress(std::int64_t n);
+
+}  // namespace lichenlanding::rehearsal
--- /dev/null
+++ b/src/rehearsal/plan.cpp
@@ -0,0 +1,117 @@
+#include "rehearsal/plan.hpp"
+
+#include <stdexcept>
+
+#include "company/company.hpp"
+#include "playbill/playbill.hpp"
+#include "text.hpp"
+
+namespace lichenlanding::rehearsal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t watchedBy = 12;  // more than any foyer of some thousands is watched by
+
+std::int64_t checked(const std::string& name, const std::string& text, std::int64_t least,
+                     std::int64_t most) {
+    std::int64_t value = 0;
+    if (text == "true" || text == "false") value = text == "true";
+    else if (!parse(text, value)) throw std::runtime_error(name + ": no whole number: " + text);
+    if (value < least || value > most)
+        throw std::runtime_error(name + ": must be " + std::to_string(least) + " to " + std::to_string(most));
+    return value;
+}
+
+}  // namespace
+
+void Plan::set(const std::string& name, const std::string& value) {
+#define X(member, key, otherwise, least, most)                    \
+    if (name == key) {                                            \
+        member = checked(name, value, std::int64_t{least}, most); \
+        return;                                                   \
+    }
+    SCALE_SETTINGS(X)
+#undef X
+    throw std::runtime_error(name + ": no such setting");
+}
+
+Json Plan::describe() const {
+    Json all = Json::object();
+#define X(member, key, otherwise, least, most) all[key] = member;
+    SCALE_SETTINGS(X)
+#undef X
+    return all;
+}
+
+Plan Plan::from(const Json& described) {
+    Plan plan;
+    for (const auto& [name, value] : described.items()) plan.set(name, value.dump());
+    return plan;
+}
+
+std::int64_t Plan::descriptors() const { return perProcess * (prompters + 3 + watchedBy + 1) + 50; }
+
+std::string changedPath(std::int64_t changes) { return "/added-" + std::to_string(changes) + "/"; }
+
+std::string configuration(const Plan& plan, std::int64_t changes) {
+    auto resources = Json::array();
+    const auto service = [&](std::int64_t n) { return "s" + std::to_string(n % plan.services); };
+    const auto route = [&](const std::string& name, const std::string& host, const std::string& path,
+                           const std::string& to) {
+        resources.push_back({{"resource_type", "route_table"},
+                             {"metadata", {{"name", name}}},
+                             {"spec",
+                              {{"hostname", host},
+                               {"path_prefix", path},
+                               {"route_class", "idempotent"},
+                               {"timeout", "2500ms"},
+                               {"target_latency", "600ms"},
+                               {"priority", 2},
+                               {"service_name", to},
+                               {"max_attempts", 2}}}});
+    };
+    for (std::int64_t n = 0; n < plan.routes; ++n) {
+        // Names as random as an operator's, so that they are squeezed no better.
+        const auto word = std::to_string(
+            company::hash(std::to_string(plan.seed) + "route", std::to_string(n)) % 100'000'000);
+        route("r-" + word + std::to_string(n), "h" + std::to_string(n % 97) + ".example",
+              "/" + word + std::to_string(n) + "/", service(n));
+    }
+    for (std::int64_t n = 1; n <= changes; ++n)
+        route("added-" + std::to_string(n), changedHost, changedPath(n), service(n));
+    for (std::int64_t n = 0; n < plan.services; ++n)
+        resources.push_back(
+            {{"resource_type", "service_table"},
+             {"metadata", {{"name", service(n)}}},
+             {"spec", {{"health_check", "/health"}, {"max_connections", 110}, {"protocol", "h1"}}}});
+    resources.push_back({{"resource_type", "limits"},
+                         {"metadata", Json::object()},
+                         {"spec",
+                          {{"max_header_bytes", 16384},
+                           {"max_body_bytes", 67108864},
+                           {"header_timeout", "3000ms"},
+                           {"idle_timeout", "15000ms"}}}});
+    return Json{{"config_version", playbill::versionText(static_cast<std::uint32_t>(1 + changes))},
+                {"resources", std::move(resources)}}
+        .dump();
+}
+
+std::string zoneName(std::int64_t zone) { return "zone-" + std::to_string(zone + 1); }
+
+troupe::Member pod(const Plan& plan, std::int64_t n) {
+    char id[32];
+    std::snprintf(id, sizeof id, "i-%08llx",
+                  static_cast<unsigned long long>(
+                      company::hash(std::to_string(plan.seed) + "pod", std::to_string(n)) & 0xffffffff));
+    troupe::Member made;
+    made.id = std::string(id) + std::to_string(n);
+    made.service = "s" + std::to_string(n % plan.services);
+    made.address = "127.73." + std::to_string(n / 200 % 250) + "." + std::to_string(n % 200 + 1) + ":9";
+    made.zone = zoneName(n % plan.zones);
+    made.version = "v1";
+    made.slots = 3;
+    return made;
+}
+
+}  // namespace lichenlanding::rehearsal
--- /dev/null
+++ b/src/rehearsal/platform.cpp
@@ -0,0 +1,97 @@
+#include "rehearsal/platform.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "text.hpp"
+
+namespace lichenlanding::rehearsal {
+
+using namespace wings;
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+Platform::Platform(asio::io_context& io, const Plan& plan)
+    : io_(io), plan_(plan), door_(listen(io, "127.0.0.1:0")), left_(static_cast<double>(plan.calls)) {
+    while (made_ < plan_.pods) pods_.push_back(pod(plan_, made_++));
+    start(io_, "platform", accept());
+}
+
+std::string Platform::address() const { return "127.0.0.1:" + std::to_string(door_.local_endpoint().port()); }
+
+std::string Platform::change() {
+    if (pods_.size() < 4) return "";
+    if (draining_ == 2) pods_.pop_front(), --draining_;
+    auto& leaves = pods_.at(draining_++);
+    leaves.draining = true;
+    const auto id = leaves.id;
+    pods_.push_back(pod(plan_, made_++));
+    return id;
+}
+
+bool Platform::allowed() {
+    const auto most = static_cast<double>(plan_.calls);
+    const Nanos at = now();
+    left_ = std::min(most, left_ + static_cast<double>(at - std::exchange(filled_, at)) / 1e9 * most);
+    if (left_ < 1) return false;
+    --left_;
+    return true;
+}
+
+std::string Platform::page(std::size_t from) {
+    const auto to = std::min(from + static_cast<std::size_t>(plan_.page), pods_.size());
+    Json list = Json::array();
+    for (auto at = from; at < to; ++at) {
+        const auto& one = pods_[at];
+        list.push_back({{"instance_id", one.id},
+                        {"service_name", one.service},
+                        {"address", one.address},
+                        {"zone", one.zone},
+                        {"config_version", one.version},
+                        {"capacity_slots", one.slots},
+                        {"state", one.draining ? "draining" : "ready"},
+                        {"warmup_left", "0ms"}});
+    }
+    const bool last = to == pods_.size();
+    if (last) wholes.push_back(now());
+    return Json{{"instance_list", std::move(list)},
+                {"next_token", last ? Json(nullptr) : Json("p-" + std::to_string(to))}}
+        .dump();
+}
+
+Task<> Platform::accept() {
+    while (door_.is_open()) {
+        Code code;
+        auto socket = co_await door_.async_accept(told(code));
+        if (code) co_return;
+        start(io_, "platform", serve(std::move(socket)));
+    }
+}
+
+Task<> Platform::serve(tcp::socket socket) {
+    beast::flat_buffer buffer;
+    for (;;) {
+        http::request<http::empty_body> request;
+        Code code;
+        co_await http::async_read(socket, buffer, request, told(code));
+        if (code) co_return;
+        ++calls;
+        http::response<http::string_body> response(http::status::ok, 11);
+        response.set(http::field::content_type, "application/json");
+        const std::string target(request.target());
+        const auto token = target.find("page_token=p-");
+        std::size_t from = 0;
+        if (token != target.npos) parse(std::string_view(target).substr(token + 13), from);
+        if (allowed()) response.body() = page(from);
+        else response.result(429), ++refused;
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        bytes += response.body().size();
+        co_await http::async_write(socket, response, told(code));
+        if (code || !response.keep_alive()) co_return;
+    }
+}
+
+}  // namespace lichenlanding::rehearsal
--- /dev/null
+++ b/src/rehearsal/scale.hpp
@@ -0,0 +1,17 @@
+// The scale run: real prompters and a few real foyers as processes, hollow foyers hundreds to a process, and
+// stand-ins for the platform's list and the operator, all over loopback. It measures what each role costs.
+#pragma once
+
+#include <string>
+
+#include "rehearsal/plan.hpp"
+
+namespace lichenlanding::rehearsal {
+
+// Runs `program` (this executable) in its parts. JSON lines and tables go to standard output. False where a
+// phase did not come to its end: its line says so. It ends by itself, at the plan's limit at the latest, and
+// with it every process that it started. Throws std::runtime_error where the machine has no room for the
+// plan: descriptors, memory, processes.
+bool scale(const Plan& plan, const std::string& program);
+
+}  // namespace lichenlanding::rehearsal
