--- a/src/command/promptbook.cpp
+++ b/src/command/promptbook.cpp
@@ -6,7 +6,8 @@
 #include <fstream>
 
 #include "command/gateway.hpp"
-#include "wings/pack.hpp"
+#include "orders/configuration.hpp"
+#include "playbill/playbill.hpp"
 
 namespace lichenlanding::command {
 namespace {
@@ -15,6 +16,12 @@
     return std::to_string(ballot.round) + "." + std::to_string(ballot.writer);
 }
 
+std::string numbers(const std::string& value) {
+    std::string all;
+    for (const auto& one : orders::read(value).history) all += " " + playbill::versionText(one.number);
+    return all;
+}
+
 // A stopped prompter's book: opened as it is, each record's checksum looked at.
 void book(const std::string& folder, const std::string& what) {
     if (!std::ifstream(folder + "/data.mdb")) throw std::runtime_error("no book in " + folder);
@@ -26,9 +33,8 @@
         return;
     }
     for (const auto& [key, cell] : cells) {
-        const bool configuration = key == "configuration" && cell.value.size() > 8;
-        const auto value =
-            configuration ? wings::unsqueeze(std::string_view(cell.value).substr(8)) : cell.value;
+        const bool configuration = key == "configuration" && !cell.value.empty();
+        const auto value = configuration ? orders::body(cell.value) : cell.value;
         if (what == "export") {
             if (configuration) std::printf("%s\n", value.c_str());
             continue;
@@ -36,7 +42,9 @@
         std::printf("%s: accepted %s, promised %s, %zu bytes on disk", key.c_str(),
                     text(cell.accepted).c_str(), text(cell.promised).c_str(), cell.value.size());
         if (configuration)
-            std::printf(", version %s, %zu bytes as sent\n", cell.value.substr(0, 8).c_str(), value.size());
+            std::printf(", version %s, %zu bytes as sent, orders remembered%s\n",
+                        playbill::versionText(orders::version(cell.value)).c_str(), value.size(),
+                        numbers(cell.value).c_str());
         else std::printf("\n%s%s", value.c_str(), value.empty() ? "" : "\n");
     }
     if (what == "show") std::printf("members: %s\n", opened.note("members").c_str());
--- /dev/null
+++ b/src/orders/configuration.cpp
@@ -0,0 +1,141 @@
+#include "orders/configuration.hpp"
+
+#include <algorithm>
+#include <boost/uuid/detail/sha1.hpp>
+#include <charconv>
+
+#include "wings/pack.hpp"
+
+namespace lichenlanding::orders {
+namespace {
+
+// Of a value: the mark, how many are remembered, the number and digest of each, the version, the body. Values
+// of texts before begin with a version's eight hexadecimal digits, which no mark does.
+constexpr std::string_view mark = "o1";
+constexpr std::size_t entryBytes = 4 + std::tuple_size_v<Digest>, digits = 8;
+
+void put(std::string& into, std::uint32_t number) {
+    for (int shift = 24; shift >= 0; shift -= 8) into += static_cast<char>(number >> shift & 0xff);
+}
+
+std::uint32_t take(std::string_view from) {
+    std::uint32_t number = 0;
+    for (const char byte : from.substr(0, 4)) number = number << 8 | static_cast<std::uint8_t>(byte);
+    return number;
+}
+
+bool earlierFormat(std::string_view value) {
+    return value.size() > digits && std::all_of(value.begin(), value.begin() + digits, [](char digit) {
+               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
+           });
+}
+
+// The bytes of the history, and what follows it: version and body.
+std::pair<std::string_view, std::string_view> parts(std::string_view value) {
+    if (!value.starts_with(mark) || value.size() < mark.size() + 1)
+        throw Unreadable("the configuration's value has no format known here");
+    const auto entries = static_cast<std::uint8_t>(value[mark.size()]);
+    value.remove_prefix(mark.size() + 1);
+    if (entries == 0 || entries > remembered || value.size() < entries * entryBytes + 4)
+        throw Unreadable("the configuration's value is cut or holds too much");
+    return {value.substr(0, entries * entryBytes), value.substr(entries * entryBytes)};
+}
+
+}  // namespace
+
+Digest digest(std::string_view body) {
+    boost::uuids::detail::sha1 hash;
+    hash.process_bytes(body.data(), body.size());
+    unsigned int words[5];
+    hash.get_digest(words);
+    Digest told;
+    for (std::size_t at = 0; at < told.size(); ++at)
+        told[at] = static_cast<std::uint8_t>(words[at / 4] >> (24 - at % 4 * 8));
+    return told;
+}
+
+Order order(std::uint32_t number, std::string_view body) {
+    return {number, digest(body), wings::squeeze(body)};
+}
+
+std::uint32_t version(std::string_view value) {
+    if (!earlierFormat(value)) return take(parts(value).second);
+    std::uint32_t number = 0;
+    std::from_chars(value.data(), value.data() + digits, number, 16);
+    return number;
+}
+
+std::string_view squeezed(std::string_view value) {
+    return earlierFormat(value) ? value.substr(digits) : parts(value).second.substr(4);
+}
+
+std::string body(std::string_view value) {
+    try {
+        return wings::unsqueeze(squeezed(value));
+    } catch (const Unreadable&) {
+        throw;
+    } catch (const std::exception& error) {
+        throw Unreadable(std::string("the configuration's body: ") + error.what());
+    }
+}
+
+Held read(std::string_view value) {
+    Held held{version(value), std::string(squeezed(value)), {}};
+    if (earlierFormat(value)) {
+        held.history.push_back({held.version, digest(body(value))});
+        return held;
+    }
+    bool there = false;
+    for (auto entries = parts(value).first; !entries.empty(); entries.remove_prefix(entryBytes)) {
+        auto& one = held.history.emplace_back();
+        one.number = take(entries);
+        std::copy_n(entries.begin() + 4, one.body.size(), one.body.begin());
+        there |= one.number == held.version;
+    }
+    if (!there) throw Unreadable("the configuration's value does not remember what is in force");
+    return held;
+}
+
+std::string write(const Held& held) {
+    std::string value(mark);
+    value += static_cast<char>(held.history.size());
+    for (const auto& one : held.history) {
+        put(value, one.number);
+        value.append(one.body.begin(), one.body.end());
+    }
+    put(value, held.version);
+    return value += held.squeezed;
+}
+
+namespace {
+
+Recalled recalled(const Held& held, const Order& order) {
+    for (const auto& one : held.history)
+        if (one.number == order.number) return one.body == order.body ? Recalled::known : Recalled::clash;
+    return Recalled::unknown;
+}
+
+}  // namespace
+
+Recalled recalled(std::string_view value, const Order& order) {
+    return value.empty() ? Recalled::unknown : recalled(read(value), order);
+}
+
+std::string change(const std::string& value, const Order& order) {
+    Held held;
+    if (!value.empty()) held = read(value);
+    if (recalled(held, order) != Recalled::unknown) return value;
+    if (value.empty() || order.number > held.version)
+        held.version = order.number, held.squeezed = order.squeezed;
+    held.history.push_back({order.number, order.body});
+    if (held.history.size() > remembered) {
+        // The oldest goes, but never the one in force: however many older ones come, another body under its
+        // number is told from it.
+        auto oldest = held.history.begin();
+        if (oldest->number == held.version) ++oldest;
+        held.history.erase(oldest);
+    }
+    return write(held);
+}
+
+}  // namespace lichenlanding::orders
--- a/src/prompter/operator_calls.cpp
+++ b/src/prompter/operator_calls.cpp
@@ -2,13 +2,13 @@
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 
 #include "cues/cues.hpp"
+#include "orders/configuration.hpp"
+#include "orders/rollouts.hpp"
 #include "playbill/playbill.hpp"
 #include "text.hpp"
 #include "wings/log.hpp"
-#include "wings/pack.hpp"
 
 namespace lichenlanding::prompter {
 
@@ -35,18 +35,34 @@
 Response wrong(int status, const std::string& what) {
     return respond(status, Json{{"error", what}}.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
+// Nothing is promised either way: the caller asks again, here or elsewhere.
 Response later(const char* what) {
     auto response = wrong(503, what);
     response.set(http::field::retry_after, "0.2");
     return response;
 }
 
+// A change that leaves a value alone which it cannot read: it is called in the midst of another's message,
+// and the answer finds the same value unreadable.
+reg::Change changing(reg::Change change) {
+    return [change = std::move(change)](const std::string& held) {
+        try {
+            return change(held);
+        } catch (const std::exception& error) {
+            log("value_unreadable", {{"step", "order"}, {"error", error.what()}});
+            return held;
+        }
+    };
+}
+
 }  // namespace
 
-std::uint32_t versionOf(const std::string& value) {
-    std::uint32_t version = 0;
-    std::from_chars(value.data(), value.data() + std::min<std::size_t>(value.size(), 8), version, 16);
-    return version;
+OperatorCalls::Register OperatorCalls::Register::of(Keeper& keeper) {
+    return {[&keeper] { return keeper.inContact(); },
+            [&keeper](std::string key, reg::Change change, Nanos within) {
+                return keeper.change(std::move(key), std::move(change), within);
+            },
+            [&keeper](std::string key, Nanos within) { return keeper.read(std::move(key), within); }};
 }
 
 Task<OperatorCalls::Response> OperatorCalls::answer(const Request& request) {
@@ -61,26 +77,29 @@
             if (part.starts_with("call=")) call = part.substr(5);
             if (part.starts_with("of=")) of = part.substr(3);
         }
-    if (call == "config.replace") co_return co_await replace(request.body());
-    if (call == "config.read") {
-        const auto value = co_await keeper_.read(configurationKey, answerWithin);
-        if (!value) co_return later("register: no majority");
-        if (value->empty()) co_return later("no configuration yet");
-        co_return respond(200, unsqueeze(std::string_view(*value).substr(8)));
-    }
     if (call == "status")
         co_return respond(200, status_().dump(-1, ' ', false, Json::error_handler_t::replace));
-    if (call == "rollouts.begin") co_return co_await begin(request.body());
-    if (call == "rollouts.read") {
-        const auto value = co_await keeper_.read(rolloutsKey, answerWithin);
-        if (!value) co_return later("register: no majority");
-        std::optional<cues::Rollout> newest;
-        for (auto& rollout : cues::readRollouts(*value))
-            if (rollout.service == of && (!newest || rollout.began >= newest->began)) newest = rollout;
-        if (!newest) co_return wrong(404, "of: no rollout of " + of);
-        co_return respond(200, Json{{"state", newest->state}, {"target_version", newest->target}}.dump());
+    co_return co_await ask(call, of, request.body());
+}
+
+// The calls that the register answers. Out of contact with its majority they are told to go elsewhere at
+// once: a caller that waits for a majority here loses the time in which another prompter would have answered.
+Task<OperatorCalls::Response> OperatorCalls::ask(const std::string& call, const std::string& of,
+                                                 const std::string& body) {
+    const bool known = call == "config.replace" || call == "config.read" || call == "rollouts.begin" ||
+                       call == "rollouts.read";
+    if (!known) co_return wrong(404, "call: no such call: " + call);
+    if (!register_.inContact()) co_return later("register: out of contact with a majority");
+    try {
+        if (call == "config.replace") co_return co_await replace(body);
+        if (call == "config.read") co_return co_await readBack();
+        if (call == "rollouts.begin") co_return co_await begin(body);
+        co_return co_await readRollout(of);
+    } catch (
+        const std::exception& error) {  // of the register's value; a caller's mistakes are answered below
+        log("call_failed", {{"step", call}, {"error", error.what()}});
     }
-    co_return wrong(404, "call: no such call: " + call);
+    co_return later("register: a value that cannot be read");
 }
 
 OperatorCalls::Response OperatorCalls::metricsPage() const {
@@ -112,22 +131,37 @@
 }
 
 Task<OperatorCalls::Response> OperatorCalls::replace(const std::string& body) {
-    std::string value;
+    orders::Order order;
     try {
-        value = playbill::versionText(playbill::Playbill::read(body).version) + squeeze(body);
+        order = orders::order(playbill::Playbill::read(body).version, body);
     } catch (const playbill::Refusal& refusal) {
         log("configuration_refused", {{"error", refusal.what()}});
         co_return respond(
             400, Json{{"errors", refusal.mistakes}}.dump(-1, ' ', false, Json::error_handler_t::replace));
     }
-    const auto version = versionOf(value);
-    const reg::Change put = [&](const std::string& now_) {
-        return now_.empty() || versionOf(now_) < version ? value : now_;
-    };
-    const auto held = co_await keeper_.change(configurationKey, put, answerWithin);
+    const auto version = playbill::versionText(order.number);
+    const reg::Change put =
+        changing([order](const std::string& held) { return orders::change(held, order); });
+    const auto held = co_await register_.change(configurationKey, put, answerWithin);
     if (!held) co_return later("register: no majority has synced it");
-    log("configuration", {{"version", playbill::versionText(version)}, {"held", held->substr(0, 8)}});
-    co_return respond(200, Json{{"config_version", held->substr(0, 8)}}.dump());
+    const auto recalled = orders::recalled(*held, order);
+    const auto inForce = playbill::versionText(orders::version(*held));
+    if (recalled == orders::Recalled::clash) {
+        log("configuration_clash", {{"version", version}, {"held", inForce}});
+        co_return respond(409,
+                          Json{{"error", "config_version " + version + ": acknowledged with another body"},
+                               {"config_version", version}}
+                              .dump());
+    }
+    log("configuration", {{"version", version}, {"held", inForce}});
+    co_return respond(200, Json{{"config_version", inForce}}.dump());
+}
+
+Task<OperatorCalls::Response> OperatorCalls::readBack() {
+    const auto value = co_await register_.read(configurationKey, answerWithin);
+    if (!value) co_return later("register: no majority");
+    if (value->empty()) co_return later("no configuration yet");
+    co_return respond(200, orders::body(*value));
 }
 
 Task<OperatorCalls::Response> OperatorCalls::begin(const std::string& body) {
@@ -141,27 +175,32 @@
         co_return wrong(400, "must hold service_name, target_version and deadline (\"12s\")");
     }
     order.began = wallMillis();
-    const reg::Change add = [&](const std::string& value) {
-        auto all = cues::readRollouts(value);
-        std::int64_t number = 0;
-        for (const auto& one : all) {
-            number = std::max(number, one.number);
-            if (one.service == order.service && one.target == order.target) return value;  // sent again
-        }
-        auto added = order;
-        added.number = number + 1;
-        all.push_back(added);
-        return cues::write(all);
-    };
-    const auto held = co_await keeper_.change(rolloutsKey, add, answerWithin);
+    const reg::Change add = changing([order](const std::string& held) { return orders::begin(held, order); });
+    const auto held = co_await register_.change(rolloutsKey, add, answerWithin);
     if (!held) co_return later("register: no majority has synced it");
-    log("rollout", {{"service", order.service},
-                    {"target", order.target},
-                    {"state", "in_progress"},
-                    {"term_ms", order.term}});
+    const auto outcome = orders::ordered(cues::readRollouts(*held), order);
+    log("rollout_ordered", {{"service", order.service},
+                            {"target", order.target},
+                            {"term_ms", order.term},
+                            {"outcome", orders::name(outcome)}});
+    if (outcome == orders::Ordered::underWay)
+        co_return respond(409, Json{{"error", "target_version " + order.target + " of " + order.service +
+                                                  ": under way by an order with another deadline"},
+                                    {"target_version", order.target}}
+                                   .dump(-1, ' ', false, Json::error_handler_t::replace));
     co_return respond(200, "{}");
 }
 
+Task<OperatorCalls::Response> OperatorCalls::readRollout(const std::string& service) {
+    const auto value = co_await register_.read(rolloutsKey, answerWithin);
+    if (!value) co_return later("register: no majority");
+    const auto rollouts = cues::readRollouts(*value);
+    const auto* newest = orders::newest(rollouts, service);
+    if (!newest) co_return wrong(404, "of: no rollout of " + service);
+    co_return respond(200, Json{{"state", newest->state}, {"target_version", newest->target}}.dump(
+                               -1, ' ', false, Json::error_handler_t::replace));
+}
+
 Task<> OperatorCalls::caller(tcp::socket socket) {
     beast::flat_buffer buffer;
     for (;;) {
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -3,6 +3,7 @@
 #include "callboard/callboard.hpp"
 #include "company/company.hpp"
 #include "cues/cues.hpp"
+#include "orders/configuration.hpp"
 #include "playbill/playbill.hpp"
 #include "prompter/keeper.hpp"
 #include "prompter/list_duty.hpp"
@@ -41,7 +42,7 @@
               keeper, [this] { return startedReading && onDuty("rollouts"); },
               [this] { return foyerNames(); }),
           operatorCalls(
-              io, keeper, [this] { return status(); }, metrics) {
+              io, OperatorCalls::Register::of(keeper), [this] { return status(); }, metrics) {
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link& link) { return greet(link); };
         owner->heard = [this](Link& link, const Json& message) { heard(link, message); };
@@ -142,8 +143,12 @@
 
     void learnt(const std::string& key) {
         const auto& value = keeper.known(key).value;
-        if (key == configurationKey && value.size() > 8) {
-            board.configuration(versionOf(value), value.substr(8));
+        if (key == configurationKey && !value.empty()) {
+            try {
+                board.configuration(orders::version(value), std::string(orders::squeezed(value)));
+            } catch (const orders::Unreadable& error) {  // of a later text, say; what is held stays
+                return log("value_unreadable", {{"step", "learnt"}, {"error", error.what()}});
+            }
             tellAll(board.cue());
         } else if (key == rolloutsKey && startedReading) {
             pinRollouts();
@@ -207,13 +212,12 @@
 
     // What this prompter knows; nothing is asked of others.
     Json status() const {
-        const auto& known = keeper.known(configurationKey).value;
         Json told{
             {"node", boot.name},
             {"blank", keeper.blank()},
             {"members", keeper.members().size()},
             {"reached", keeper.reached()},
-            {"configuration", known.substr(0, std::min<std::size_t>(known.size(), 8))},
+            {"configuration", board.version() ? playbill::versionText(board.version()) : ""},
             {"duty", Json::array()},
             {"foyers", Json::object()},
             {"pods", Json::object()},
--- a/tests/gateway/contract.cpp
+++ b/tests/gateway/contract.cpp
@@ -1,14 +1,17 @@
 // The operators' calls as docs/api/gateway.openapi.yaml has them, against the program: for each field that
 // the file names, a configuration in which only that field is wrong is refused, and the refusal names it.
+// Each status that the file names is brought about, none other, with the headers and fields that it requires.
 #include <yaml-cpp/yaml.h>
 
 #include <nlohmann/json.hpp>
 
+#include "control_stage.hpp"
 #include "playbill/playbill.hpp"
 #include "transcript.hpp"
 
 using namespace lichenlanding;
 using Json = nlohmann::json;
+namespace http = boost::beast::http;
 
 namespace {
 
@@ -39,8 +42,64 @@
 class ContractTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ContractTest);
     CPPUNIT_TEST(fields);
+    CPPUNIT_TEST(answers);
     CPPUNIT_TEST_SUITE_END();
 
+    // Those of 413 and 431, which the connection answers, are brought about in the tests of callers.
+    void answers() {
+        const auto file = YAML::LoadFile(OPENAPI);
+        const auto documented = file["paths"]["/api/rpc"]["post"]["responses"];
+        using control_stage::configuration;
+        control_stage::ControlStage stage;
+        std::map<std::string, std::vector<prompter::OperatorCalls::Response>> seen;
+        const auto ask = [&](const std::string& call, const std::string& body) {
+            const auto response = stage.call(call, body);
+            seen[std::to_string(response.result_int())].push_back(response);
+        };
+        ask("config.read", ""), ask("config.other", ""), ask("rollouts.read&of=s", "");
+        ask("config.replace", "{}"), ask("rollouts.begin", "{}");
+        ask("config.replace", configuration("00000002"));
+        ask("config.replace", configuration("00000002", "/b/"));
+        ask("rollouts.begin", control_stage::rollout("v2", "12s"));
+        ask("rollouts.begin", control_stage::rollout("v2", "15s"));
+        ask("config.read", ""), ask("rollouts.read&of=s", ""), ask("status", "");
+        const auto read = stage.ask("/api/rpc?call=config.read", "", http::verb::get);
+        seen[std::to_string(read.result_int())].push_back(read);
+        stage.reg.contact = false;
+        ask("config.replace", configuration("00000003"));
+        seen["413"], seen["431"];
+        for (const auto& [status, responses] : seen) {
+            CPPUNIT_ASSERT_MESSAGE(status, documented[status]);
+            for (const auto& response : responses) {
+                for (const auto& header : documented[status]["headers"])
+                    if (header.second["required"].as<bool>(false))
+                        CPPUNIT_ASSERT_MESSAGE(status + " without " + header.first.as<std::string>(),
+                                               response.count(header.first.as<std::string>()) == 1);
+                const auto content = documented[status]["content"];
+                if (!content) continue;
+                const auto schema = content["application/json"]["schema"]["$ref"];
+                const auto name =
+                    schema.as<std::string>().substr(std::string("#/components/schemas/").size());
+                const auto body = Json::parse(response.body());
+                for (const auto& field : file["components"]["schemas"][name]["required"])
+                    CPPUNIT_ASSERT_MESSAGE(status + " " + response.body(),
+                                           body.contains(field.as<std::string>()));
+                for (const auto& [field, _] : body.items())
+                    CPPUNIT_ASSERT_MESSAGE(status + " tells " + field,
+                                           file["components"]["schemas"][name]["properties"][field]);
+            }
+        }
+        for (const auto& status : documented)
+            CPPUNIT_ASSERT_MESSAGE(status.first.as<std::string>(),
+                                   seen.contains(status.first.as<std::string>()));
+        const auto& clashes = seen["409"];
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, clashes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("00000002"),
+                             Json::parse(clashes[0].body()).at("config_version").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"),
+                             Json::parse(clashes[1].body()).at("target_version").get<std::string>());
+    }
+
     void fields() {
         const auto schemas = YAML::LoadFile(OPENAPI)["components"]["schemas"];
         std::string seen;
--- /dev/null
+++ b/tests/gateway/orders.cpp
@@ -0,0 +1,351 @@
+// Orders against what is in force. Each rule is also explored: orders of the same and of other numbers sent
+// twice, through any prompter, in every sequence of ballots, with answers lost and writes lost or done late.
+// Each invariant is shown to be able to fail, the first by what answered before there was a history.
+#include <functional>
+#include <set>
+#include <unordered_set>
+
+#include "orders/configuration.hpp"
+#include "orders/rollouts.hpp"
+#include "playbill/playbill.hpp"
+#include "transcript.hpp"
+#include "wings/pack.hpp"
+
+using namespace lichenlanding;
+using namespace lichenlanding::orders;
+
+namespace {
+
+enum class Bug { none, numberAlone, forgetsWhatWasReplaced, refusesLower, tellsBeforeInForce };
+
+struct Sent {
+    std::uint32_t number;
+    char body;
+};
+
+struct Model {
+    std::vector<Sent> orders;
+    std::size_t times = 2;  // that each is sent
+    Bug bug = Bug::none;
+
+    std::string value;
+    std::vector<std::size_t> left;
+    std::map<std::uint32_t, std::set<char>> acknowledged, refused;
+    std::set<std::uint32_t> everAcknowledged;
+    std::string broken;
+
+    Model(std::vector<Sent> orders_, Bug bug_) : orders(std::move(orders_)), bug(bug_) {
+        left.assign(orders.size(), times);
+    }
+    Order at(std::size_t which) const {
+        return order(orders[which].number, std::string(1, orders[which].body));
+    }
+    // How one sending may end: answered; answered but the answer lost; no majority and never in force.
+    enum class End { answered, answerLost, writeLost };
+
+    void send(std::size_t which, End end) {
+        --left[which];
+        const auto one = at(which);
+        const auto [number, body_] = orders[which];
+        auto after = change(value, one);
+        if (bug == Bug::forgetsWhatWasReplaced && !after.empty()) {
+            auto held = read(after);
+            std::erase_if(held.history, [&](const auto& past) { return past.number != held.version; });
+            after = write(held);
+        }
+        if (bug == Bug::refusesLower && !value.empty() && number < version(value)) after = value;
+        auto answer = recalled(after, one);
+        if (bug == Bug::numberAlone) answer = Recalled::known;
+        if (bug == Bug::refusesLower && !value.empty() && number < version(value)) answer = Recalled::clash;
+        if (end == End::writeLost) {
+            if (bug != Bug::tellsBeforeInForce) return;
+        } else {
+            const auto before = value.empty() ? 0 : version(value);
+            value = after;
+            if (version(value) < before) broken = "NeverBack";
+        }
+        if (end == End::answerLost) return;
+        if (answer == Recalled::known) acknowledged[number].insert(body_);
+        else refused[number].insert(body_);
+        check(number, body_, answer);
+    }
+    void check(std::uint32_t number, char body_, Recalled answer) {
+        const auto text = playbill::versionText(number) + body_;
+        if (acknowledged[number].size() > 1) broken = "OneBody: " + text;
+        if (answer != Recalled::known && acknowledged[number].contains(body_)) broken = "KnownAgain: " + text;
+        if (answer == Recalled::known && refused[number].contains(body_)) broken = "RefusedForGood: " + text;
+        if (answer != Recalled::known && std::none_of(orders.begin(), orders.end(), [&](const auto& other) {
+                return other.number == number && other.body != body_;
+            }))
+            broken = "OnlyClashesRefused: " + text;
+        if (answer == Recalled::known && (value.empty() || version(value) < number))
+            broken = "InForce: " + text;
+        if (answer == Recalled::known && !value.empty() && version(value) == number &&
+            body(value)[0] != body_)
+            broken = "InForce: another body: " + text;
+    }
+    std::string key() const {
+        auto all = value + "#";
+        for (const auto count : left) all += std::to_string(count);
+        for (const auto* told : {&acknowledged, &refused}) {
+            all += "|";
+            for (const auto& [number, bodies] : *told)
+                for (const char one : bodies) all += std::to_string(number) + one;
+        }
+        return all;
+    }
+};
+
+struct Explored {
+    std::size_t states = 0;
+    std::string broken;
+};
+
+Explored explore(const Model& first) {
+    std::unordered_set<std::string> seen{first.key()};  // asked, never walked through
+    std::vector<Model> open{first};
+    while (!open.empty()) {
+        const auto model = std::move(open.back());
+        open.pop_back();
+        for (std::size_t which = 0; which < model.orders.size(); ++which) {
+            if (model.left[which] == 0) continue;
+            for (const auto end : {Model::End::answered, Model::End::answerLost, Model::End::writeLost}) {
+                auto next = model;
+                next.send(which, end);
+                if (!next.broken.empty()) return {seen.size(), next.broken};
+                if (seen.insert(next.key()).second) open.push_back(std::move(next));
+            }
+        }
+    }
+    return {seen.size(), ""};
+}
+
+const std::vector<Sent> race{{7, 'A'}, {7, 'B'}, {9, 'C'}, {5, 'D'}, {5, 'E'}};
+
+std::string hex(const Digest& told) {
+    std::string all;
+    for (const auto byte : told) {
+        constexpr auto digits = "0123456789abcdef";
+        all += digits[byte >> 4], all += digits[byte & 15];
+    }
+    return all;
+}
+
+cues::Rollout asked(const std::string& service, const std::string& target, std::int64_t term) {
+    cues::Rollout order;
+    order.service = service, order.target = target, order.term = term;
+    return order;
+}
+
+std::string ended(const std::string& value, const std::string& target, const std::string& state) {
+    auto all = cues::readRollouts(value);
+    std::int64_t number = 0;
+    for (const auto& one : all) number = std::max(number, one.number);
+    for (auto& one : all)
+        if (one.target == target && one.running()) one.state = state, one.number = number + 1;
+    return cues::write(all);
+}
+
+}  // namespace
+
+class OrdersTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OrdersTest);
+    CPPUNIT_TEST(digests);
+    CPPUNIT_TEST(decisions);
+    CPPUNIT_TEST(earlierFormat);
+    CPPUNIT_TEST(unreadable);
+    CPPUNIT_TEST(bounded);
+    CPPUNIT_TEST(everySequence);
+    CPPUNIT_TEST(rolloutsAgain);
+    CPPUNIT_TEST(rolloutsAnew);
+    CPPUNIT_TEST(rolloutsRace);
+    CPPUNIT_TEST(rolloutsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void digests() {
+        CPPUNIT_ASSERT_EQUAL(std::string("a9993e364706816aba3e25717850c26c9cd0d89d"), hex(digest("abc")));
+        CPPUNIT_ASSERT_EQUAL(std::string("da39a3ee5e6b4b0d3255bfef95601890afd80709"), hex(digest("")));
+    }
+
+    void decisions() {
+        const auto seven = order(7, "seven"), other = order(7, "other"), nine = order(9, "nine");
+        const auto five = order(5, "five"), fifth = order(5, "fifth");
+        auto value = change("", seven);
+        CPPUNIT_ASSERT_EQUAL(7u, version(value));
+        CPPUNIT_ASSERT_EQUAL(std::string("seven"), body(value));
+        CPPUNIT_ASSERT(recalled(value, seven) == Recalled::known);
+        CPPUNIT_ASSERT(recalled(value, other) == Recalled::clash);
+        CPPUNIT_ASSERT(change(value, seven) == value && change(value, other) == value);
+        value = change(value, nine);
+        CPPUNIT_ASSERT_EQUAL(std::string("nine"), body(value));
+        // Known again and clashing after another change too.
+        CPPUNIT_ASSERT(change(value, seven) == value && change(value, other) == value);
+        CPPUNIT_ASSERT(recalled(value, seven) == Recalled::known);
+        CPPUNIT_ASSERT(recalled(value, other) == Recalled::clash);
+        // A lower number changes nothing in force, and another body under it clashes from then on.
+        CPPUNIT_ASSERT(recalled(value, five) == Recalled::unknown);
+        value = change(value, five);
+        CPPUNIT_ASSERT_EQUAL(9u, version(value));
+        CPPUNIT_ASSERT_EQUAL(std::string("nine"), body(value));
+        CPPUNIT_ASSERT(recalled(value, five) == Recalled::known);
+        CPPUNIT_ASSERT(recalled(value, fifth) == Recalled::clash);
+        // What is written is read again, large and with any byte.
+        std::string large(200'000, 'x');
+        large += std::string("\0\xff", 2);
+        value = change(value, order(0xfffffff0, large));
+        CPPUNIT_ASSERT_EQUAL(0xfffffff0u, version(value));
+        CPPUNIT_ASSERT(body(value) == large && write(read(value)) == value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, read(value).history.size());
+    }
+
+    // Values of texts before: eight digits and the body. Nothing of them is lost, and the order in force is
+    // known by its body.
+    void earlierFormat() {
+        for (const auto& sent : {std::string("short"), std::string(5000, 'y')}) {
+            const auto value = playbill::versionText(0xab) + wings::squeeze(sent);
+            CPPUNIT_ASSERT_EQUAL(0xabu, version(value));
+            CPPUNIT_ASSERT_EQUAL(sent, body(value));
+            CPPUNIT_ASSERT(recalled(value, order(0xab, sent)) == Recalled::known);
+            CPPUNIT_ASSERT(recalled(value, order(0xab, sent + " ")) == Recalled::clash);
+            CPPUNIT_ASSERT(change(value, order(0xab, sent)) == value);
+            const auto older = change(value, order(3, "three"));
+            CPPUNIT_ASSERT_EQUAL(sent, body(older));
+            CPPUNIT_ASSERT(recalled(older, order(0xab, sent)) == Recalled::known);
+            const auto next = change(value, order(0xac, "next"));
+            CPPUNIT_ASSERT_EQUAL(std::string("next"), body(next));
+            CPPUNIT_ASSERT(recalled(next, order(0xab, sent)) == Recalled::known);
+            CPPUNIT_ASSERT(recalled(next, order(0xab, "other")) == Recalled::clash);
+        }
+    }
+
+    // What is cut or of another format is told, never guessed; a body cut later shows when it is read.
+    void unreadable() {
+        const auto value = change(change("", order(7, std::string(3000, 'a'))), order(8, "eight"));
+        const auto whole = value.size() - wings::squeeze("eight").size();
+        for (std::size_t length = 1; length < whole; ++length)
+            CPPUNIT_ASSERT_THROW(version(value.substr(0, length)), Unreadable);
+        CPPUNIT_ASSERT_THROW(body(value.substr(0, whole)), Unreadable);
+        for (const auto* text : {"o2", "0000000", "0000000G body", "\x7f"})
+            CPPUNIT_ASSERT_THROW(read(text), Unreadable);
+        auto forgotten = read(value);
+        forgotten.version = 11;
+        CPPUNIT_ASSERT_THROW(read(write(forgotten)), Unreadable);
+    }
+
+    // So many are remembered, and the one in force for good, however many older ones come.
+    void bounded() {
+        std::string value = change("", order(1000, "in force"));
+        for (std::uint32_t number = 1; number <= 200; ++number)
+            value = change(value, order(number, "older" + std::to_string(number)));
+        CPPUNIT_ASSERT_EQUAL(remembered, read(value).history.size());
+        CPPUNIT_ASSERT(recalled(value, order(1000, "in force")) == Recalled::known);
+        CPPUNIT_ASSERT(recalled(value, order(1000, "other")) == Recalled::clash);
+        CPPUNIT_ASSERT(recalled(value, order(200, "older200")) == Recalled::known);
+        CPPUNIT_ASSERT(recalled(value, order(200 - remembered + 2, "other")) == Recalled::clash);
+        // Beyond it lower numbers go as the page says: acknowledged, and nothing changes.
+        const auto beyond = order(1, "other");
+        CPPUNIT_ASSERT(recalled(value, beyond) == Recalled::unknown);
+        value = change(value, beyond);
+        CPPUNIT_ASSERT(recalled(value, beyond) == Recalled::known);
+        CPPUNIT_ASSERT_EQUAL(std::string("in force"), body(value));
+        CPPUNIT_ASSERT(value.size() < 64 * 24 + 40);
+    }
+
+    void everySequence() {
+        const auto whole = explore(Model(race, Bug::none));
+        CPPUNIT_ASSERT_EQUAL(std::string(), whole.broken);
+        std::string seen = "states " + std::to_string(whole.states) + "\n";
+        const std::vector<std::pair<Bug, std::string>> bugs{
+            {Bug::numberAlone, "the number alone answers, as before there was a history"},
+            {Bug::forgetsWhatWasReplaced, "only the order in force is remembered"},
+            {Bug::refusesLower, "a lower number is refused"},
+            {Bug::tellsBeforeInForce, "an answer before a majority has it"}};
+        for (const auto& [bug, text] : bugs) {
+            const auto found = explore(Model(race, bug));
+            CPPUNIT_ASSERT_MESSAGE(text, !found.broken.empty());
+            seen += text + ": " + found.broken + "\n";
+        }
+        approve("orders-explored", seen);
+    }
+
+    // Known again while it runs, after each way to end, and after others; never a second one.
+    void rolloutsAgain() {
+        const auto order = asked("s", "v2", 12'000);
+        auto value = begin("", order);
+        CPPUNIT_ASSERT(begin(value, order) == value);
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(value), order) == Ordered::known);
+        for (const auto* state : {"completed", "rolled_back"}) {
+            auto after = ended(value, "v2", state);
+            CPPUNIT_ASSERT(begin(after, order) == after);
+            CPPUNIT_ASSERT(ordered(cues::readRollouts(after), order) == Ordered::known);
+            after = begin(after, asked("s", "v3", 12'000));
+            CPPUNIT_ASSERT_EQUAL(std::string("v3"), newest(cues::readRollouts(after), "s")->target);
+            CPPUNIT_ASSERT(begin(after, order) == after);
+        }
+        CPPUNIT_ASSERT(newest(cues::readRollouts(value), "t") == nullptr);
+    }
+
+    // Another deadline makes another order: refused while the first runs, nothing to do where that version is
+    // the one that the service has come to, and else begun anew.
+    void rolloutsAnew() {
+        const auto first = asked("s", "v2", 12'000), again = asked("s", "v2", 15'000);
+        const auto running = begin("", first);
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(running), again) == Ordered::underWay);
+        CPPUNIT_ASSERT(begin(running, again) == running);
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(running), asked("t", "v2", 15'000)) == Ordered::begun);
+        const auto done = ended(running, "v2", "completed");
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(done), again) == Ordered::inForce);
+        CPPUNIT_ASSERT(begin(done, again) == done);
+        const auto back = ended(running, "v2", "rolled_back");
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(back), again) == Ordered::begun);
+        const auto anew = begin(back, again);
+        const auto all = cues::readRollouts(anew);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, all.size());
+        CPPUNIT_ASSERT(all[1].running() && all[1].number > all[0].number && !all[0].running());
+        CPPUNIT_ASSERT(begin(anew, first) == anew && begin(anew, again) == anew);
+        // From v3 back to v2: the service has moved on, so this is work to do.
+        auto moved = ended(begin(done, asked("s", "v3", 12'000)), "v3", "completed");
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(moved), again) == Ordered::begun);
+    }
+
+    // Two orders through two prompters, in both sequences of ballots, each sent again: one runs, the other is
+    // refused for as long as it does.
+    void rolloutsRace() {
+        const std::vector<cues::Rollout> both{asked("s", "v2", 12'000), asked("s", "v2", 15'000)};
+        for (const std::size_t first : {0u, 1u}) {
+            auto value = begin("", both[first]);
+            value = begin(value, both[1 - first]);
+            for (int again = 0; again < 2; ++again) {
+                value = begin(value, both[0]), value = begin(value, both[1]);
+                const auto all = cues::readRollouts(value);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.size());
+                CPPUNIT_ASSERT_EQUAL(both[first].term, all[0].term);
+                CPPUNIT_ASSERT(ordered(all, both[first]) == Ordered::known);
+                CPPUNIT_ASSERT(ordered(all, both[1 - first]) == Ordered::underWay);
+            }
+        }
+    }
+
+    // Hundreds of rollouts: the ended ones go, but for the newest and for what each service has come to.
+    void rolloutsBounded() {
+        auto value = ended(begin("", asked("quiet", "v1", 1000)), "v1", "completed");
+        std::size_t bytes = 0;
+        for (int at = 0; at < 400; ++at) {
+            const auto order = asked("s", "w" + std::to_string(at), 12'000);
+            value = begin(value, order);
+            CPPUNIT_ASSERT(begin(value, order) == value);
+            value = ended(value, order.target, at % 3 ? "completed" : "rolled_back");
+            CPPUNIT_ASSERT(begin(value, order) == value);  // known also after it has ended
+            if (at == 100) bytes = value.size();
+        }
+        const auto all = cues::readRollouts(value);
+        CPPUNIT_ASSERT(all.size() <= endedKept + 3);
+        CPPUNIT_ASSERT(value.size() < bytes + 200);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), newest(all, "quiet")->target);
+        std::int64_t highest = 0;
+        for (const auto& one : all) highest = std::max(highest, one.number);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{802}, highest);  // numbers go on rising
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OrdersTest);
