Casting: one table says of each attempt whether its pod may have run the request

Whether a request may go again, and whether 503 may be promised, was kept in a flag, two counters and three booleans over three files. Now an attempt is unsent, surely not run, maybe run or answered, by a table of eight transitions; what is not in it throws. Both questions, the count of arrivals and the judgement of a pod's answer are asked of src/casting/attempt.hpp alone.

The review of front and upstream found, and this mends: an answer to another request was passed on where it was no success and larger than 256 KB; a request behind the answer that closes a draining connection was run though its client takes it for not read; the loser of two sends was never ended at a silent pod, and kept its pod's place for good; the idle time-out ran from a request's begin, not from its answer's end; a pod silent for 10 s in a large answer ended it, one silent for good held the connection for ever; Transfer-Encoding other than 'chunked' was read as no body, so that the body became the next request; Connection could name X-Attempt-Id or X-Response-Seal away; an address that can't be read left its request spinning past its deadline.

CastingTest::silence ended one send twice once it had what it looked for; the table refuses that, and the test now begins each send that it ends.

--- /dev/null
+++ b/src/casting/attempt.hpp
@@ -0,0 +1,110 @@
+// One send of a request to one pod, and what is known of it. The one place that says whether a request may be
+// sent again, and whether 429, 503, 408 or 421 may be promised for it: everything that does either asks here.
+//
+// Pure: no I/O, clock or chance. The host tells what happened, as events; the table says what that means.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace lichenlanding::casting {
+
+struct Actor;
+
+enum class State {
+    unsent,        // no byte was handed to a connection, so far
+    surelyNotRun,  // it never will be, or this pod has said of this very send that it was not run
+    maybeRun,      // some were, and nothing says that it has not run
+    answered,      // a whole answer of this pod to this request
+};
+
+enum class Event {
+    written,    // the first byte is about to be handed over. The send goes on; all other events end it
+    unreached,  // the connection never came up, or was left before the first byte
+    turned,     // X-Not-Executed, under the send's own id
+    elsewhere,  // 421: another pod lives there
+    answered,   // a whole answer of this pod to this request
+    cut,        // closed or reset before that
+    spoilt,     // bytes that are no answer to this request
+    overdue,    // no answer in time
+};
+
+struct Transition {
+    State from;
+    Event event;
+    State to;
+};
+
+// What is not here cannot happen. From maybeRun only the pod's own word leads to surelyNotRun; silence, a
+// reset or a close never do, whatever was known before.
+inline constexpr std::array<Transition, 8> transitions{{
+    {State::unsent, Event::written, State::maybeRun},
+    {State::unsent, Event::unreached, State::surelyNotRun},
+    {State::maybeRun, Event::turned, State::surelyNotRun},
+    {State::maybeRun, Event::elsewhere, State::surelyNotRun},
+    {State::maybeRun, Event::answered, State::answered},
+    {State::maybeRun, Event::cut, State::maybeRun},
+    {State::maybeRun, Event::spoilt, State::maybeRun},
+    {State::maybeRun, Event::overdue, State::maybeRun},
+}};
+
+// The state that follows by the table; none where it has no such transition.
+std::optional<State> after(std::span<const Transition> table, State from, Event event);
+
+constexpr bool ends(Event event) { return event != Event::written; }
+
+const char* name(State state);
+const char* name(Event event);
+
+class Attempt {
+  public:
+    explicit Attempt(std::shared_ptr<Actor> actor) : actor_(std::move(actor)) {}
+
+    // Throws std::logic_error where the table has no such transition or the attempt has ended: then nothing
+    // changes.
+    void on(Event event);
+
+    State state() const { return state_; }
+    bool inFlight() const { return !end_; }
+    std::optional<Event> end() const { return end_; }  // none while in flight
+    const std::shared_ptr<Actor>& actor() const { return actor_; }
+
+  private:
+    std::shared_ptr<Actor> actor_;
+    State state_ = State::unsent;
+    std::optional<Event> end_;
+};
+
+using Attempts = std::vector<std::shared_ptr<Attempt>>;  // of one request, in order
+
+// Of the request, over all its attempts: the state from which it can least be sent again.
+State stateOf(const Attempts& attempts);
+std::size_t inFlight(const Attempts& attempts);
+// That pods have seen or may still see: all but those that ended unreached.
+std::size_t arrivals(const Attempts& attempts);
+
+// TWICE: whether it may be sent to one more pod, now.
+bool maySend(const Attempts& attempts, bool repeatable);
+// REFUSED: whether 429, 503, 408 or 421 may be answered, which promise that it has not run and never will.
+bool mayPromise(const Attempts& attempts);
+
+// What the head of a pod's answer says, as far as it decides.
+struct Answer {
+    enum class Id { own, other, none };
+    int status = 0;
+    Id id = Id::none;          // X-Attempt-Id, against the send's
+    bool notExecuted = false;  // X-Not-Executed
+    bool stamped = false;      // X-Response-Seal
+    bool encoded = false;      // Content-Encoding
+    bool delimited = false;    // its end can be told from a connection that breaks off
+};
+
+// The event that a whole answer makes of it; none where it belongs to another request, and is to be read past
+// or, where that can't be done, to count as spoilt.
+std::optional<Event> judge(const Answer& answer);
+
+}  // namespace lichenlanding::casting
--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -235,9 +235,9 @@
     return true;
 }
 
-bool Casting::mayRepeat(const Try& request, Nanos now) const {
-    return (request.route->repeatable || !request.mayHaveRun) &&
-           static_cast<std::int64_t>(request.sent.size()) < request.route->maxAttempts &&
+bool Casting::mayGoOn(const Try& request, Nanos now) const {
+    return maySend(request.attempts, request.route->repeatable) &&
+           static_cast<std::int64_t>(request.attempts.size()) < request.route->maxAttempts &&
            request.deadline - now > leastLeft;
 }
 
@@ -268,12 +268,10 @@
         });
 }
 
-std::shared_ptr<Actor> Casting::next(Try& request, Nanos now) {
-    // TWICE: what may run once is out at one pod at most, and goes on only from what surely did not run.
-    if (!request.route->repeatable && (request.mayHaveRun || request.out > 0)) return nullptr;
-    if (!mayRepeat(request, now)) return nullptr;
+std::shared_ptr<Attempt> Casting::next(Try& request, Nanos now) {
+    if (!mayGoOn(request, now)) return nullptr;
     // BUDGET: any arrival past a request's first is paid for before it is sent.
-    const bool further = request.arrivals > 0;
+    const bool further = arrivals(request.attempts) > 0;
     auto& spent = budget(request.service);
     if (further) {
         const auto [requests, sends] = spent.over(now, window_);
@@ -282,7 +280,7 @@
                                  ? 0
                                  : slack_ / static_cast<double>(sharers(now));
         const double allowed = (ratio_ * requests + slack) * budgetPart;
-        if (sends + 1 > allowed * (request.out > 0 ? hedgePart : 1)) return nullptr;
+        if (sends + 1 > allowed * (inFlight(request.attempts) > 0 ? hedgePart : 1)) return nullptr;
     }
     std::array<Places, 2> near, far, resting;
     const auto all = byService_.find(request.service);
@@ -290,7 +288,9 @@
     for (const auto& actor : all->second) {
         const auto where = side(*actor);
         if (where == Side::none || actor->gone || actor->listed.draining) continue;
-        if (std::find(request.sent.begin(), request.sent.end(), actor.get()) != request.sent.end()) continue;
+        if (std::any_of(request.attempts.begin(), request.attempts.end(),
+                        [&](const auto& attempt) { return attempt->actor() == actor; }))
+            continue;
         const auto at = static_cast<std::size_t>(where == Side::fresh);
         auto& place = !usable(*actor, now) ? resting : actor->listed.zone == zone_ ? near : far;
         place[at].push_back(&actor);
@@ -342,12 +342,11 @@
     look(near[from], 2), look(far[from], near[from].empty() ? 2 : 1);
     if (!best) look(resting[0], 2);
     if (!best) return nullptr;
-    request.sent.push_back(best.get());
     if (side(*best) == Side::fresh) ++trials_[best->listed.service + "\n" + best->listed.version]->sent;
-    ++request.arrivals, ++request.out;
     if (further) spent.cell(now).second += 1;
     if (best->out++ == 0) best->owes = now;
-    return best;
+    request.attempts.push_back(std::make_shared<Attempt>(best));
+    return request.attempts.back();
 }
 
 Nanos Casting::hedgeAt(const Try& request, Nanos sentAt) const {
@@ -367,37 +366,37 @@
     crowd += crowdLearn * (waits - crowd);
 }
 
-void Casting::ended(Try& request, Actor& actor, End end, int status, Nanos took, Nanos now) {
-    --request.out, --actor.out;
-    if (end == End::unreached) --request.arrivals;
-    if (!surelyNotRun(end)) request.mayHaveRun = true;
-    if (end == End::answered || end == End::turned || end == End::elsewhere)
+void Casting::ended(Try& request, Attempt& attempt, Event end, int status, Nanos took, Nanos now) {
+    attempt.on(end);
+    auto& actor = *attempt.actor();
+    --actor.out;
+    if (end == Event::answered || end == Event::turned || end == Event::elsewhere)
         actor.owes = actor.out > 0 ? now : 0;
     const auto rest = [&](Nanos first) {
         actor.restUntil = now + std::min(first << std::min(actor.failures, 5), restAtMost);
     };
-    if (end == End::answered) {
+    if (end == Event::answered) {
         actor.failures = 0;
-    } else if (end == End::turned) {
+    } else if (end == Event::turned) {
         actor.restUntil = now + restTurned;
-    } else if (end == End::elsewhere) {
+    } else if (end == Event::elsewhere) {
         actor.gone = true;  // ROUTE: the address has another pod; the list will say so
-    } else if (end == End::unreached || end == End::overdue) {
+    } else if (end == Event::unreached || end == Event::overdue) {
         rest(restFirst), ++actor.failures;
     } else if (++actor.failures >= cutsInRow) {
         rest(restFirst);
     }
-    if (end == End::overdue && actor.out == 0) actor.owes = 0;
-    const bool failed = end == End::cut || end == End::spoilt || end == End::overdue ||
-                        (end == End::answered && status >= 500);
+    if (end == Event::overdue && actor.out == 0) actor.owes = 0;
+    const bool failed = end == Event::cut || end == Event::spoilt || end == Event::overdue ||
+                        (end == Event::answered && status >= 500);
     const auto& route = *request.route;
-    if (end == End::answered && status < 300) {
+    if (end == Event::answered && status < 300) {
         auto& typical = typical_.try_emplace(route.name, static_cast<double>(route.target) / 3).first->second;
         const double ratio = static_cast<double>(took) / typical;
         typical += learn * (static_cast<double>(took) - typical);
         if (now >= actor.warmUntil) actor.pace += learn * (std::clamp(ratio, 0.2, 5.0) - actor.pace);
     }
-    if (surelyNotRun(end) || !warm(actor, now)) return;
+    if (attempt.state() == State::surelyNotRun || !warm(actor, now)) return;
     for (const auto& rollout : rollouts_) {
         if (rollout.service != actor.listed.service || !rollout.running()) continue;
         const bool fresh = rollout.target == actor.listed.version;
@@ -409,10 +408,11 @@
     }
 }
 
-Refusal Casting::refusal(const Try& request, End last, Nanos) const {
-    // REFUSED: 503 promises that it has not run and never will.
-    if (!request.mayHaveRun && request.out == 0) return {503, comeBack};
-    return {last == End::overdue ? 504 : 502, 0};
+Refusal Casting::refusal(const Try& request) const {
+    if (mayPromise(request.attempts)) return {503, comeBack};
+    const bool overdue = std::any_of(request.attempts.begin(), request.attempts.end(),
+                                     [](const auto& attempt) { return attempt->end() == Event::overdue; });
+    return {overdue ? 504 : 502, 0};
 }
 
 int Casting::linesAtMost(const Actor& actor) const {
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "casting/attempt.hpp"
 #include "cues/cues.hpp"
 #include "playbill/boot.hpp"
 #include "playbill/playbill.hpp"
@@ -37,20 +38,6 @@
     Nanos owes = 0;  // since when it has owed an answer without giving any; 0: not
 };
 
-// How one send ended. What surely did not run may go again and may be refused; nothing else may.
-enum class End {
-    answered,   // a whole answer of this pod to this request
-    turned,     // X-Not-Executed: surely not run
-    elsewhere,  // 421: another pod lives there; surely not run
-    unreached,  // the connection never came up; surely not run
-    cut,        // closed or reset after something was written: may have run
-    spoilt,     // bytes that are no answer to this request: may have run
-    overdue,    // no answer in time: may have run
-};
-constexpr bool surelyNotRun(End end) {
-    return end == End::turned || end == End::elsewhere || end == End::unreached;
-}
-
 // How long an idle connection is used again, from what its pod says (0: nothing); and whether a request that
 // may run only once may go on one that has been idle for `age`.
 Nanos keptFor(Nanos told);
@@ -61,10 +48,7 @@
     const playbill::Route* route = nullptr;
     std::string service;
     Nanos arrived = 0, deadline = 0;  // the client's, or the route's timeout if that is sooner
-    std::vector<const Actor*> sent;   // pods it was sent to, in order
-    int arrivals = 0;                 // that pods may have seen
-    int out = 0;                      // sends without an end
-    bool mayHaveRun = false;
+    Attempts attempts;
 };
 
 // What a client is told when no pod's answer can be had.
@@ -96,15 +80,15 @@
     // A request that has come in: false where no route takes it.
     bool begin(Try& request, std::string_view host, std::string_view path, Nanos now, Nanos clientTime);
 
-    // The pod to send to now, or null: give up (unless something is out still). Counts the send.
-    std::shared_ptr<Actor> next(Try& request, Nanos now);
+    // The send to make now, added to the request's attempts, or null: give up, unless one is in flight still.
+    std::shared_ptr<Attempt> next(Try& request, Nanos now);
     // Whether a second send beside one that is out would be worth it, and when to ask.
     Nanos hedgeAt(const Try& request, Nanos sentAt) const;
-    void ended(Try& request, Actor& actor, End end, int status, Nanos took, Nanos now);
+    // Tells the attempt how it ended; `status` of the answer, 0 without one. Throws as Attempt::on().
+    void ended(Try& request, Attempt& attempt, Event end, int status, Nanos took, Nanos now);
     void reported(Actor& actor, int running, int waiting, Nanos now);
-    // After `ended`: whether next() may be asked again.
-    bool mayRepeat(const Try& request, Nanos now) const;
-    Refusal refusal(const Try& request, End last, Nanos now) const;
+    // What is answered where next() has nothing more and nothing is in flight.
+    Refusal refusal(const Try& request) const;
 
     // Connections to one pod that this foyer may have open.
     int linesAtMost(const Actor& actor) const;
@@ -127,6 +111,7 @@
     double cost(const Actor& actor, Nanos now) const;
     std::size_t sharers(Nanos now) const;
     bool usable(const Actor& actor, Nanos now) const;
+    bool mayGoOn(const Try& request, Nanos now) const;
     Budget& budget(const std::string& service);
     Trial* trial(const std::string& service);
 
--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -1,5 +1,7 @@
 #include "foyer/front.hpp"
 
+#include <sys/socket.h>
+
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -12,11 +14,12 @@
 namespace {
 
 using namespace wings;
-using casting::End;
+using casting::Event;
 
 constexpr std::size_t aheadAtMost = 32;    // requests of one connection that are read and unanswered
 constexpr Nanos connectWithin = 250 * ms;  // a pod's connection comes up, or it is left
 constexpr Nanos bodyWithin = 30 * second;  // a request's body
+constexpr Nanos closeWithin = 20 * ms;     // a connection that was closed here has ended its call
 constexpr Nanos unreadFor = 10 * second;   // a client that does not take its answers
 constexpr Nanos startWithin = 150 * ms, startLook = 10 * ms;
 constexpr Nanos lingerFor = 300 * ms;     // after the last answer, for what is still on its way
@@ -37,18 +40,25 @@
     return response;
 }
 
+// What goes from end to end whatever Connection names.
+bool endToEnd(boost::beast::string_view name) {
+    for (const auto* kept : {"Host", "Content-Length", "Content-Encoding", "X-Attempt-Id", "X-Response-Seal"})
+        if (boost::beast::iequals(name, kept)) return true;
+    return false;
+}
+
 // Headers that concern one connection alone, and those that Connection names.
 template <typename Fields>
 void strip(Fields& fields) {
-    if (const auto named = fields.find(http::field::connection); named != fields.end()) {
-        const std::string list(named->value());
-        for (auto name : split(list, ',')) {
-            const auto first = name.find_first_not_of(" \t");
-            if (first == name.npos) continue;
-            name = name.substr(first, name.find_last_not_of(" \t") - first + 1);
-            if (name != "close" && name != "keep-alive")
-                fields.erase(boost::beast::string_view(name.data(), name.size()));
-        }
+    std::string list;
+    const auto named = fields.equal_range(http::field::connection);
+    for (auto at = named.first; at != named.second; ++at) list += std::string(at->value()) + ",";
+    for (auto name : split(list, ',')) {
+        const auto first = name.find_first_not_of(" \t");
+        if (first == name.npos) continue;
+        name = name.substr(first, name.find_last_not_of(" \t") - first + 1);
+        const boost::beast::string_view field(name.data(), name.size());
+        if (!endToEnd(field)) fields.erase(field);
     }
     for (const auto field :
          {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
@@ -56,6 +66,21 @@
         fields.erase(field);
 }
 
+// UNASKED: a request whose end or whose id another reader could see elsewhere than we do. Beast takes a
+// coding of the transfer that it doesn't know for none, and what follows for the next request.
+template <typename Fields>
+bool ambiguous(const Fields& fields) {
+    const auto codings = fields.count(http::field::transfer_encoding);
+    return codings > 1 || fields.count(http::field::host) > 1 || fields.count("X-Attempt-Id") > 1 ||
+           (codings == 1 && !boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
+// Whether the client has ended its side, and all that it sent is read.
+bool ended(tcp::socket& socket) {
+    char byte;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 }  // namespace
 
 struct Front::Exchange {
@@ -72,7 +97,7 @@
     casting::Try way;
     std::shared_ptr<const playbill::Playbill> playbill;  // keeps the route
     std::shared_ptr<Bell> bell;
-    std::vector<std::shared_ptr<Attempt>> attempts;
+    std::vector<std::shared_ptr<Call>> calls;
 };
 
 struct Front::Session {
@@ -83,16 +108,30 @@
     Bell room;
     std::uint64_t number = 0;
     bool writing = false, dead = false, idle = false;
-    bool readerIn = true;  // the reading coroutine runs
-    bool away = false;     // the last answer is out: what comes is not read
-
-    Nanos readBy = 0, writingSince = 0;
+    bool readerIn = true;                // the reading coroutine runs
+    bool closing = false;                // the last answer is chosen: what comes behind it counts as not read
+    bool away = false;                   // the last answer is out
+    Nanos readBy = 0, writingSince = 0;  // 0: nothing is being read, nothing is being written
+    Nanos restingSince = 0, restFor = 0;
     bool late = false;  // what it was to have read by then has not come
+    // The pod whose rest of an answer is waited for, and until when.
+    tcp::socket* fetching = nullptr;
+    Nanos fetchBy = 0;
+
+    // The time in which a client may take the connection up again begins with the last answer.
+    void rest(Nanos now, Nanos idleTimeout) { restingSince = now, restFor = idleTimeout; }
+    bool resting() const { return idle && queue.empty() && !writing && !away; }
+    // Bytes that have come and that the reader's turn will take up.
+    bool waiting() {
+        Code code;
+        return socket.available(code) > 0 && !code;
+    }
 
     void kill() {
         dead = true;
         Code ignored;
         socket.close(ignored);
+        if (fetching) fetching->close(ignored);
         room.ring();
     }
 };
@@ -125,23 +164,32 @@
 void Front::closeIdle() {
     std::vector<std::shared_ptr<Session>> idle;
     for (const auto& [_, session] : sessions_)
-        if (session->idle && session->queue.empty() && !session->writing) idle.push_back(session);
+        if (session->resting() && !session->waiting()) idle.push_back(session);
     for (const auto& session : idle) session->kill();
 }
 
 void Front::sweep(Nanos now) {
-    std::vector<std::shared_ptr<Session>> late;
+    const Nanos idleTimeout = casting_.playbill() ? casting_.playbill()->bounds.idleTimeout : 0;
+    std::vector<std::shared_ptr<Session>> late, deaf;
     for (const auto& [_, session] : sessions_) {
-        const bool unread = session->writing && now - session->writingSince > unreadFor;
-        if ((session->readBy > 0 && now > session->readBy && session->queue.empty() && !session->writing) ||
-            unread)
+        if (session->fetching && now > session->fetchBy) deaf.push_back(session);
+        else if (session->writing && !session->away && session->writingSince > 0 &&
+                 now - session->writingSince > unreadFor)
+            deaf.push_back(session);
+        else if (session->resting()) {
+            // A change of the time binds those that rest already only where it is longer.
+            const Nanos restFor = std::max(session->restFor, idleTimeout);
+            if (now - session->restingSince > restFor && !session->waiting()) late.push_back(session);
+        } else if (session->readBy > 0 && now > session->readBy && session->queue.empty() &&
+                   (!session->writing || session->away) && (session->away || !session->waiting())) {
             late.push_back(session);
+        }
     }
+    for (const auto& session : deaf) session->kill();
     for (const auto& session : late) {
         session->late = true;
         Code ignored;
-        if (session->writing && !session->away) session->kill();
-        else session->socket.cancel(ignored);
+        session->socket.cancel(ignored);
     }
 }
 
@@ -217,7 +265,11 @@
         if (code || parser.is_done()) break;
         block.resize(room(parser));
         parser.get().body().data = block.data(), parser.get().body().size = block.size();
+        // A pod's silence is no reason to end the answer before its time is over.
+        session->writingSince = 0;
+        session->fetching = &line.socket, session->fetchBy = exchange->way.deadline;
         co_await http::async_read(line.socket, line.buffer, parser, told(code));
+        session->fetching = nullptr;
         block.resize(block.size() - parser.get().body().size);
         if (code == http::error::need_buffer) code = {};
     }
@@ -242,14 +294,15 @@
     while (!session->dead) {
         const auto limits = bounds();
         Code code;
+        if (session->closing) session->buffer.consume(session->buffer.size());
         if (session->buffer.size() == 0) {
             session->idle = true;
-            if (!session->away) session->readBy = now() + limits.idleTimeout;
+            if (!session->away) session->readBy = 0, session->rest(now(), limits.idleTimeout);
             const auto space = session->buffer.prepare(4096);
             const auto read = co_await session->socket.async_read_some(space, told(code));
             session->idle = false;
             if (code) break;
-            if (session->away) continue;
+            if (session->closing) continue;
             session->buffer.commit(read);
         }
         auto parser = std::make_shared<http::request_parser<http::buffer_body>>();
@@ -260,14 +313,29 @@
         std::string body;
         if (!code && !parser->is_done()) {
             session->readBy = now() + bodyWithin;
-            if (view(parser->get()[http::field::expect]) == "100-continue" && session->queue.empty()) {
+            const bool asks = boost::beast::iequals(parser->get()[http::field::expect], "100-continue");
+            // Behind the answers that are due first.
+            while (asks && !session->queue.empty() && !session->dead)
+                co_await session->room.wait(now() + second);
+            if (asks && !session->closing && !session->dead) {
                 static const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
                 co_await asio::async_write(session->socket, asio::buffer(text), told(code));
             }
             while (!code && !parser->is_done() && body.size() < holdAtMost)
                 code = co_await readBlock(session, *parser, body);
         }
-        session->readBy = 0;
+        if (!session->away) session->readBy = 0;
+        if (session->closing) {
+            // It counts as not read, whatever it is, and is sent again elsewhere: to run it would be to run
+            // it twice.
+            if (code && code.category() != make_error_code(http::error::bad_version).category()) break;
+            session->buffer.consume(session->buffer.size());
+            continue;
+        }
+        if (!code && ambiguous(parser->get())) {
+            answer(own(400, "the request's end or id is ambiguous"));
+            break;
+        }
         if (code) {
             if (session->late && !session->dead) answer(own(408, "request not read in time"));
             else if (code == http::error::header_limit)
@@ -281,7 +349,7 @@
         auto exchange = std::make_shared<Exchange>();
         exchange->request = Request(http::request_header<>(parser->get().base()));
         exchange->request.body() = std::move(body);
-        exchange->last = !exchange->request.keep_alive();
+        exchange->last = !exchange->request.keep_alive() || draining_;
         if (!parser->is_done()) exchange->upload = parser, exchange->last = true;
         exchange->skipBody = exchange->request.method() == http::verb::head;
         session->queue.push_back(exchange);
@@ -311,6 +379,7 @@
         auto& response = exchange->response;
         // Leaving: the last answer of what has been read says so.
         const bool last = (exchange->last || draining_) && session->queue.size() == 1;
+        session->closing = last;
         strip(response);
         response.version(11);
         response.keep_alive(!last);
@@ -327,10 +396,13 @@
             co_await http::async_write_header(session->socket, serializer, told(code));
         else co_await http::async_write(session->socket, serializer, told(code));
         session->queue.pop_front();
+        session->writingSince = 0;
         if (code) {
             session->kill();
             break;
         }
+        if (session->queue.empty() && casting_.playbill())
+            session->rest(now(), casting_.playbill()->bounds.idleTimeout);
         session->room.ring();
         if (last) {
             Code ignored;
@@ -352,29 +424,47 @@
     }
 }
 
-Task<> Front::attempt(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange,
-                      std::shared_ptr<Attempt> attempt) {
+Task<> Front::send(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange,
+                   std::shared_ptr<Call> call) {
     auto& way = exchange->way;
-    auto& actor = *attempt->actor;
+    auto& attempt = *call->attempt;
+    auto& actor = *attempt.actor();
     Tail tail;
     if (exchange->upload)
         tail = [this, session, exchange](tcp::socket& pod) { return upload(session, exchange, pod); };
-    co_await upstream_.call(attempt, std::shared_ptr<const Request>(exchange, &exchange->request),
-                            way.deadline, !way.route->repeatable, casting_.linesAtMost(actor), tail);
+    try {
+        co_await upstream_.call(call, std::shared_ptr<const Request>(exchange, &exchange->request),
+                                way.deadline, !way.route->repeatable, casting_.linesAtMost(actor), tail);
+    } catch (const std::exception& error) {
+        call->end = attempt.state() == casting::State::unsent ? Event::unreached : Event::cut;
+        call->line.reset(), call->rest.reset();
+        log("send_failed", {{"step", "send"}, {"peer", actor.listed.address}, {"error", error.what()}});
+    }
     const auto at = now();
-    const auto& response = attempt->response;
+    const auto& response = call->response;
     if (const auto load = response.find("X-Instance-Load"); load != response.end()) {
         const auto parts = split(view(load->value()), ',');
         int running = 0, waiting = 0;
         if (parts.size() >= 2 && parse(parts[0], running) && parse(parts[1], waiting))
             casting_.reported(actor, running, waiting, at);
     }
-    attempt->done = true;
-    casting_.ended(way, actor, attempt->end, static_cast<int>(response.result_int()), at - attempt->began,
-                   at);
+    casting_.ended(way, attempt, call->end, static_cast<int>(response.result_int()), at - call->began, at);
     exchange->bell->ring();
 }
 
+// The client has its answer. What has not been written is left; what is with a pod may run on, and ends with
+// the request's time at the latest.
+Task<> Front::settle(std::shared_ptr<Exchange> exchange) {
+    const auto& way = exchange->way;
+    for (const auto& call : exchange->calls)
+        if (call->attempt->state() == casting::State::unsent) call->abort();
+    while (casting::inFlight(way.attempts) > 0) {
+        co_await exchange->bell->wait(std::max(way.deadline, now() + closeWithin));
+        if (now() < way.deadline) continue;
+        for (const auto& call : exchange->calls) call->abort();
+    }
+}
+
 Task<> Front::play(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange) {
     auto& request = exchange->request;
     const auto finish = [&](Response response, std::uint64_t& count) {
@@ -383,8 +473,11 @@
         ready(session, exchange);
     };
     // A foyer that has just come up, or stood still, waits a moment for what prompters are about to tell it.
+    const bool stood = !awake_();
     for (const Nanos until = now() + startWithin; !(casting_.ready() && awake_()) && now() < until;)
         co_await sleep(startLook);
+    if (stood && !session->dead && ended(session->socket))
+        co_return finish(own(503, "its client has gone", whileUnready), refused);
     if (!casting_.playbill()) co_return finish(own(503, "no configuration yet", whileUnready), refused);
     if (request["X-Attempt-Id"].empty()) co_return finish(own(400, "X-Attempt-Id is missing"), refused);
     Nanos clientTime = clientTimeUnlessTold;
@@ -407,56 +500,59 @@
              (method != http::verb::get && method != http::verb::head && method != http::verb::delete_))
         request.content_length(request.body().size());
     exchange->bell = std::make_shared<Bell>(io_);
-    const auto answerOf = [&](const std::shared_ptr<Attempt>& sent) {
-        exchange->rest = std::move(sent->rest);
-        finish(std::move(sent->response), served);
+    const auto answerOf = [&](const std::shared_ptr<Call>& call) {
+        exchange->rest = std::move(call->rest);
+        finish(std::move(call->response), served);
     };
-    std::shared_ptr<Attempt> fallback;  // an answer of a pod that another try might better
-    auto last = End::unreached;
-    std::size_t seen = 0;  // attempts whose end was looked at, counted from the front as they ended
-    std::vector<bool> looked;
+    std::shared_ptr<Call> fallback;  // an answer of a pod that another attempt might better
+    std::vector<bool> looked;        // by call: its end was looked at
+    std::size_t seen = 0;            // of these
     Nanos hedgeAt = way.deadline;
-    bool wanted = true;  // another send, if casting has one
+    bool wanted = true, aborted = false;  // another attempt, if casting has one; all were ended
     for (;;) {
-        if (wanted && !exchange->uploading) {
-            wanted = false;
-            if (auto actor = casting_.next(way, now())) {
-                auto sent = std::make_shared<Attempt>();
-                sent->actor = std::move(actor);
-                sent->began = now();
-                exchange->attempts.push_back(sent);
+        if (wanted && !exchange->uploading && !session->dead) {
+            if (auto attempt = casting_.next(way, now())) {
+                auto call = std::make_shared<Call>(std::move(attempt));
+                call->began = now();
+                exchange->calls.push_back(call);
                 looked.push_back(false);
                 hedgeAt = exchange->upload ? way.deadline : casting_.hedgeAt(way, now());
-                start(io_, "send", attempt(session, exchange, sent));
+                start(io_, "send", send(session, exchange, call));
             }
         }
-        if (way.out == 0 && seen == exchange->attempts.size()) break;  // given up, at once
-        Nanos until = std::min(way.deadline, hedgeAt);
-        for (const auto& sent : exchange->attempts)
-            if (!sent->done && !sent->connected) until = std::min(until, sent->began + connectWithin);
+        wanted = false;
+        if (casting::inFlight(way.attempts) == 0 && seen == exchange->calls.size())
+            break;  // given up, at once
+        Nanos until = aborted ? now() + closeWithin : std::min(way.deadline, hedgeAt);
+        for (const auto& call : exchange->calls)
+            if (call->attempt->state() == casting::State::unsent && !call->aborted)
+                until = std::min(until, call->began + connectWithin);
         const bool rang = co_await exchange->bell->wait(until);
         const auto at = now();
         if (!rang) {
-            for (const auto& sent : exchange->attempts)
-                if (!sent->done &&
-                    ((!sent->connected && at >= sent->began + connectWithin) || at >= way.deadline))
-                    sent->abort();
-            if (at >= way.deadline && exchange->uploading) session->kill();  // its client may send no more
-            if (at >= hedgeAt && at < way.deadline) hedgeAt = way.deadline, wanted = true;
+            for (const auto& call : exchange->calls)
+                if (at >= way.deadline ||
+                    (call->attempt->state() == casting::State::unsent && at >= call->began + connectWithin))
+                    call->abort();
+            aborted = at >= way.deadline;
+            if (aborted && exchange->uploading) session->kill();  // its client may send no more
+            if (at >= hedgeAt && !aborted) hedgeAt = way.deadline, wanted = true;
         }
-        for (std::size_t index = 0; index < exchange->attempts.size(); ++index) {
-            const auto& sent = exchange->attempts[index];
-            if (!sent->done || looked[index]) continue;
+        for (std::size_t index = 0; index < exchange->calls.size(); ++index) {
+            const auto& call = exchange->calls[index];
+            if (call->attempt->inFlight() || looked[index]) continue;
             looked[index] = true, ++seen;
-            last = sent->end;
-            if (sent->end == End::answered && (sent->response.result_int() < 500 || !way.route->repeatable))
-                co_return answerOf(sent);
-            if (sent->end == End::answered) fallback = sent;
-            if (way.out == 0) wanted = true;
+            if (call->end == Event::answered &&
+                (call->response.result_int() < 500 || !way.route->repeatable)) {
+                answerOf(call);
+                co_return co_await settle(exchange);
+            }
+            if (call->end == Event::answered) fallback = call;
+            if (casting::inFlight(way.attempts) == 0) wanted = true;
         }
     }
     if (fallback) co_return answerOf(fallback);
-    const auto refusal = casting_.refusal(way, last, now());
+    const auto refusal = casting_.refusal(way);
     finish(own(refusal.status, refusal.status == 503 ? "no pod can take it now" : "the pod's answer was lost",
                refusal.retryAfter),
            refusal.status == 503 ? refused : failed);
--- a/src/foyer/front.hpp
+++ b/src/foyer/front.hpp
@@ -13,10 +13,12 @@
     ~Front();
 
     wings::Task<> serve(wings::tcp::acceptor& acceptor);
-    // Answers end their connections from now on; what is read is answered.
+    // What is read is answered; each connection ends with the last answer to that, or the next request's.
     void drain();
+    // Ends connections on which nothing is asked.
     void closeIdle();
     std::size_t open() const { return sessions_.size(); }
+    // Ends what takes longer than it may: called every so often.
     void sweep(Nanos now);
 
     std::uint64_t served = 0, refused = 0, failed = 0;
@@ -27,8 +29,9 @@
     wings::Task<> read(std::shared_ptr<Session> session);
     wings::Task<> write(std::shared_ptr<Session> session);
     wings::Task<> play(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange);
-    wings::Task<> attempt(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange,
-                          std::shared_ptr<Attempt> attempt);
+    wings::Task<> send(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange,
+                       std::shared_ptr<Call> call);
+    wings::Task<> settle(std::shared_ptr<Exchange> exchange);
     wings::Task<wings::Code> readBlock(std::shared_ptr<Session> session,
                                        http::request_parser<http::buffer_body>& parser, std::string& body);
     wings::Task<wings::Code> upload(std::shared_ptr<Session> session, std::shared_ptr<Exchange> exchange,
--- a/src/foyer/upstream.cpp
+++ b/src/foyer/upstream.cpp
@@ -12,10 +12,11 @@
 namespace {
 
 using namespace wings;
-using casting::End;
+using casting::Answer, casting::Event;
 
 constexpr std::uint64_t answerAtMost = std::uint64_t{1} << 40;  // larger ones pass through in blocks
 constexpr int surplusAtMost = 2;  // answers to other requests that are read past
+constexpr std::uint32_t headAtMost = 64 << 10;
 
 // Nothing to read and not closed: the pod has neither ended it nor sent what belongs to no request.
 bool quiet(tcp::socket& socket) {
@@ -37,11 +38,34 @@
     return parse(number, seconds) ? seconds * second : 0;
 }
 
+// Where a body ends is told by a length, by chunks alone, or by having none. Any other coding of the transfer
+// is one that is not undone here.
+bool delimited(const Response& response) {
+    const auto status = response.result_int();
+    const auto codings = response.equal_range(http::field::transfer_encoding);
+    if (codings.first != codings.second)
+        return response.count(http::field::transfer_encoding) == 1 &&
+               boost::beast::iequals(codings.first->value(), "chunked");
+    return response.has_content_length() || status == 204 || status == 304;
+}
+
+Answer headOf(const Response& response, boost::beast::string_view id) {
+    Answer answer;
+    const auto theirs = response["X-Attempt-Id"];
+    answer.status = static_cast<int>(response.result_int());
+    answer.id = theirs.empty() ? Answer::Id::none : theirs == id ? Answer::Id::own : Answer::Id::other;
+    answer.notExecuted = response.count("X-Not-Executed") > 0;
+    answer.stamped = response.count("X-Response-Seal") > 0;
+    answer.encoded = response.count(http::field::content_encoding) > 0;
+    answer.delimited = delimited(response);
+    return answer;
+}
+
 }  // namespace
 
-void Attempt::abort() {
-    if (done) return;
-    overdue = true;
+void Call::abort() {
+    if (!attempt->inFlight()) return;
+    aborted = true;
     Code ignored;
     if (line) line->socket.close(ignored);
 }
@@ -78,9 +102,10 @@
 }
 
 // One final answer, whole, or its first part with the rest to come.
-Task<Code> Upstream::answer(std::shared_ptr<Attempt> attempt, std::shared_ptr<Line> line, bool head) {
+Task<Code> Upstream::answer(std::shared_ptr<Call> call, std::shared_ptr<Line> line, bool head) {
     for (;;) {
         auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        parser->header_limit(headAtMost);
         parser->body_limit(answerAtMost);
         parser->skip(head);
         Code code;
@@ -98,32 +123,35 @@
             if (code == http::error::need_buffer) code = {};
             if (code) co_return code;
         }
-        attempt->response = Response(http::response_header<>(parser->get().base()));
-        attempt->response.body() = std::move(body);
-        attempt->rest.reset();
-        if (!parser->is_done()) attempt->rest = std::make_unique<Rest>(Rest{line, std::move(parser)});
+        call->response = Response(http::response_header<>(parser->get().base()));
+        call->response.body() = std::move(body);
+        call->rest.reset();
+        if (!parser->is_done()) call->rest = std::make_unique<Rest>(Rest{line, std::move(parser)});
         co_return Code{};
     }
 }
 
-Task<> Upstream::call(std::shared_ptr<Attempt> attempt, std::shared_ptr<const Request> request,
-                      Nanos deadline, bool careful, int linesAtMost, Tail tail) {
-    auto& actor = *attempt->actor;
-    attempt->began = now();
+Task<> Upstream::call(std::shared_ptr<Call> call, std::shared_ptr<const Request> request, Nanos deadline,
+                      bool careful, int linesAtMost, Tail tail) {
+    const auto& actor = *call->attempt->actor();
+    call->began = now();
     auto line = kept(actor, careful);
     Code code;
     if (!line) {
         if (actor.lines >= linesAtMost) co_return;  // unreached
-        line = std::make_shared<Line>(io_, attempt->actor);
-        attempt->line = line;
+        line = std::make_shared<Line>(io_, call->attempt->actor());
+        call->line = line;
         co_await line->socket.async_connect(endpoint(actor.listed.address), told(code));
-        if (code || attempt->overdue) co_return;
+        if (code || call->aborted) {
+            call->line.reset();
+            co_return;
+        }
         tune(line->socket, 3 * second);
     }
-    attempt->line = line;
-    attempt->connected = true;
-    attempt->end = End::cut;
-    const auto& id = (*request)["X-Attempt-Id"];
+    call->line = line;
+    call->attempt->on(Event::written);
+    call->end = Event::cut;
+    const auto id = (*request)["X-Attempt-Id"];
     // The head is copied with what this send alone says; the body is not.
     http::request<http::span_body<const char>> sent(http::request_header<>(request->base()));
     sent.body() = {request->body().data(), request->body().size()};
@@ -138,53 +166,39 @@
     }
     bool whole = false, surplus = false;
     for (int read = 0; !code && read <= surplusAtMost; ++read) {
-        code = co_await answer(attempt, line, request->method() == http::verb::head);
+        code = co_await answer(call, line, request->method() == http::verb::head);
         if (code) {
             const bool unreadable =
                 code.category() == make_error_code(http::error::end_of_stream).category() &&
                 code != http::error::end_of_stream && code != http::error::partial_message;
-            if (unreadable) attempt->end = End::spoilt;
+            if (unreadable) call->end = Event::spoilt;
             break;
         }
-        const auto& response = attempt->response;
-        const auto status = response.result_int();
-        const auto theirs = response["X-Attempt-Id"];
-        if (theirs != id && !theirs.empty() && !attempt->rest) {
-            surplus = true;  // a late second answer to an earlier request, in the place of this one's
+        const auto judged = casting::judge(headOf(call->response, id));
+        if (!judged && !call->rest) {  // another request's: read past
+            surplus = true;
             continue;
         }
-        const bool success = status / 100 == 2, turned = response.count("X-Not-Executed") > 0;
-        // MIXED: a success is the pod's own only with its stamp, its id, and a length that shows it is whole.
-        // REFUSED: what promises that nothing ran (408, 429, 503) is passed on only with the pod's word for
-        // it.
-        const bool stamped = theirs == id && response.count("X-Response-Seal") > 0 &&
-                             response.count(http::field::content_encoding) == 0;
-        const bool promises = status == 408 || status == 429 || status == 503;
-        const bool bounded =
-            response.has_content_length() || response.chunked() || status == 204 || status == 304;
-        const bool own = bounded && (!success || stamped) && (!promises || turned);
         whole = true;
-        attempt->end = !own            ? End::spoilt
-                       : status == 421 ? End::elsewhere
-                       : turned        ? End::turned
-                                       : End::answered;
+        call->end = judged.value_or(Event::spoilt);
         break;
     }
-    if (attempt->overdue && !whole) attempt->end = End::overdue;
-    if (attempt->rest && attempt->end == End::answered) {
-        attempt->line.reset();  // the answer's reader has it now
+    if (call->aborted && !whole) call->end = Event::overdue;
+    if (call->rest && call->end == Event::answered) {
+        call->line.reset();  // the answer's reader has it now
         co_return;
     }
-    const bool reusable = whole && !surplus && !attempt->rest && attempt->end != End::spoilt &&
-                          attempt->response.keep_alive() && line->buffer.size() == 0 && !actor.gone;
+    const bool reusable = whole && !surplus && !call->rest && call->end != Event::spoilt && !call->aborted &&
+                          call->response.keep_alive() && line->buffer.size() == 0 && !actor.gone;
+    call->rest.reset();
     if (reusable) {
-        line->idleFor = casting::keptFor(keepAlive(attempt->response));
-        keep(attempt->actor, line);
+        line->idleFor = casting::keptFor(keepAlive(call->response));
+        keep(call->attempt->actor(), line);
     } else {
         Code ignored;
         line->socket.close(ignored);
     }
-    attempt->line.reset();
+    call->line.reset();
 }
 
 }  // namespace lichenlanding::foyer
--- a/src/foyer/upstream.hpp
+++ b/src/foyer/upstream.hpp
@@ -55,17 +55,18 @@
 // Writes what follows the part of a request's body that is held, to the pod.
 using Tail = std::function<wings::Task<wings::Code>(wings::tcp::socket& pod)>;
 
-// One send of a request to one pod.
-struct Attempt {
-    std::shared_ptr<casting::Actor> actor;
+// One attempt of a request, on the wire.
+struct Call {
+    explicit Call(std::shared_ptr<casting::Attempt> attempt_) : attempt(std::move(attempt_)) {}
+    std::shared_ptr<casting::Attempt> attempt;
     std::shared_ptr<Line> line;
-    casting::End end = casting::End::unreached;
+    casting::Event end = casting::Event::unreached;  // once the call is back
     Response response;
     std::unique_ptr<Rest> rest;  // of an answer too large to hold
-    bool done = false, connected = false, overdue = false;
+    bool aborted = false;
     Nanos began = 0;
 
-    // The host has no more time for it: ends it, as overdue (or as unreached where it never came up).
+    // The host has no more time for it: ends it, as overdue (or as unreached where nothing was written).
     void abort();
 };
 
@@ -73,15 +74,16 @@
   public:
     explicit Upstream(asio::io_context& io) : io_(io) {}
 
-    // Sends `request` (its connection headers already off) and reads one whole answer. Fills the attempt.
+    // Sends `request` (its connection headers already off) and reads one whole answer. Fills the call, and
+    // tells its attempt when the first byte is written; the end is for the caller to tell.
     // `careful`: the request may not run twice, so no connection is used that the pod may just be closing.
-    wings::Task<> call(std::shared_ptr<Attempt> attempt, std::shared_ptr<const Request> request,
-                       Nanos deadline, bool careful, int linesAtMost, Tail tail = {});
+    wings::Task<> call(std::shared_ptr<Call> call, std::shared_ptr<const Request> request, Nanos deadline,
+                       bool careful, int linesAtMost, Tail tail = {});
     // Ends idle connections that the pod will soon end, and those to pods that are gone.
     void sweep(Nanos now);
 
   private:
-    wings::Task<wings::Code> answer(std::shared_ptr<Attempt> attempt, std::shared_ptr<Line> line, bool head);
+    wings::Task<wings::Code> answer(std::shared_ptr<Call> call, std::shared_ptr<Line> line, bool head);
     std::shared_ptr<Line> kept(const casting::Actor& actor, bool careful);
     void keep(const std::shared_ptr<casting::Actor>& actor, std::shared_ptr<Line> line);
 
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -5,7 +5,7 @@
 #include "transcript.hpp"
 
 using namespace lichenlanding;
-using casting::Casting, casting::End, casting::Try;
+using casting::Attempt, casting::Casting, casting::Event, casting::Try;
 
 namespace {
 
@@ -43,10 +43,15 @@
     // Sends once; the pod's id, or "-".
     std::string send(Try& request) {
         last = room->next(request, now);
-        return last ? last->listed.id : "-";
+        return last ? last->actor()->listed.id : "-";
     }
-    void end(Try& request, End end, int status = 200, Nanos took = 100 * ms) {
-        room->ended(request, *last, end, status, took, now);
+    void end(Try& request, Event end, int status = 200, Nanos took = 100 * ms) {
+        end_(request, *last, end, status, took);
+    }
+    // As a host tells it: all but what ends unreached was written first.
+    void end_(Try& request, Attempt& attempt, Event end, int status = 200, Nanos took = 100 * ms) {
+        if (end != Event::unreached) attempt.on(Event::written);
+        room->ended(request, attempt, end, status, took, now);
     }
     void rollout(const std::string& state, int stage = 0, std::int64_t number = 1) {
         cues::Rollout order;
@@ -56,7 +61,7 @@
     }
     playbill::Boot boot;
     std::unique_ptr<Casting> room;
-    std::shared_ptr<casting::Actor> last;
+    std::shared_ptr<Attempt> last;
     Nanos now = 100 * second;
 };
 
@@ -85,22 +90,22 @@
         std::string seen;
         for (const auto* kind : {reading, writing})
             for (const auto& [name, end] :
-                 std::vector<std::pair<const char*, End>>{{"turned", End::turned},
-                                                          {"elsewhere", End::elsewhere},
-                                                          {"unreached", End::unreached},
-                                                          {"cut", End::cut},
-                                                          {"spoilt", End::spoilt},
-                                                          {"overdue", End::overdue}}) {
+                 std::vector<std::pair<const char*, Event>>{{"turned", Event::turned},
+                                                            {"elsewhere", Event::elsewhere},
+                                                            {"unreached", Event::unreached},
+                                                            {"cut", Event::cut},
+                                                            {"spoilt", Event::spoilt},
+                                                            {"overdue", Event::overdue}}) {
                 Room room;
                 auto request = room.begin(kind);
                 const auto first = room.send(request);
-                const auto beside = room.room->next(request, room.now) != nullptr;  // while it is out
-                if (beside) --request.out, request.sent.pop_back(), --request.arrivals;
+                const auto beside = room.room->next(request, room.now) != nullptr;  // while it is in flight
+                if (beside) request.attempts.pop_back();
                 room.end(request, end);
                 const auto second_ = room.send(request);
                 CPPUNIT_ASSERT(second_ != first);
                 if (second_ != "-") room.end(request, end);
-                const auto refusal = room.room->refusal(request, end, room.now);
+                const auto refusal = room.room->refusal(request);
                 seen += std::string(kind) + " " + name + ": beside " + (beside ? "yes" : "no") + ", again " +
                         (second_ == "-" ? "no" : "yes") + ", then " + std::to_string(refusal.status) +
                         (refusal.retryAfter > 0 ? " come back" : "") + "\n";
@@ -120,8 +125,8 @@
                 room.now += second / 20;
                 auto request = room.begin(reading);
                 for (auto sent = room.send(request); sent != "-"; sent = room.send(request)) {
-                    if (request.arrivals > 1) ++further;
-                    room.end(request, storm ? End::turned : End::answered);
+                    if (casting::arrivals(request.attempts) > 1) ++further;
+                    room.end(request, storm ? Event::turned : Event::answered);
                     if (!storm) break;
                 }
             }
@@ -144,7 +149,7 @@
             room.now += 10 * ms;
             auto request = room.begin(reading);
             fresh += room.send(request)[0] == 'n';
-            room.end(request, End::answered);
+            room.end(request, Event::answered);
         }
         CPPUNIT_ASSERT(fresh >= 40);
         CPPUNIT_ASSERT(fresh <= 50);
@@ -157,7 +162,7 @@
             auto request = room.begin(writing);
             const bool its = room.send(request)[0] == 'n';
             fresh += its;
-            room.end(request, its ? End::cut : End::answered);
+            room.end(request, its ? Event::cut : Event::answered);
         }
         CPPUNIT_ASSERT(fresh >= 4);
         CPPUNIT_ASSERT(fresh < 60);  // until 0.3 of those it has seen are bad
@@ -181,7 +186,7 @@
                     room.now += 270 * ms;
                     auto request = room.begin(writing);
                     fresh += room.send(request)[0] == 'n';
-                    room.end(request, End::answered);
+                    room.end(request, Event::answered);
                 }
                 seen += " " + std::to_string(fresh);
             }
@@ -204,8 +209,8 @@
             room.now += 10 * ms;
             auto request = room.begin(reading);
             CPPUNIT_ASSERT(room.send(request) != "-");
-            ++where[room.last->listed.version];
-            room.end(request, End::answered);
+            ++where[room.last->actor()->listed.version];
+            room.end(request, Event::answered);
         }
         CPPUNIT_ASSERT_EQUAL(0, where["v1"]);
         CPPUNIT_ASSERT(where["v3"] >= 40);
@@ -220,8 +225,8 @@
             for (int at = 0; at < 200; ++at) {
                 auto request = room.begin(reading);
                 const auto sent = room.send(request);
-                ++where[sent == "-" ? sent : room.last->listed.version];
-                if (sent != "-") room.end(request, End::answered);
+                ++where[sent == "-" ? sent : room.last->actor()->listed.version];
+                if (sent != "-") room.end(request, Event::answered);
             }
             seen += what + ":";
             for (const auto& [version, count] : where) seen += " " + version + " " + std::to_string(count);
@@ -265,7 +270,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("-"), room.send(other));
         room.list("p1");
         CPPUNIT_ASSERT_EQUAL(std::string("p1"), room.send(other));
-        room.end(other, End::elsewhere);
+        room.end(other, Event::elsewhere);
         auto third = room.begin(reading);
         CPPUNIT_ASSERT_EQUAL(std::string("-"), room.send(third));
     }
@@ -294,8 +299,8 @@
                 auto request = room.begin(writing);
                 const bool other = room.send(request)[0] == 'f';
                 others += at >= 1000 && other;
-                room.room->reported(*room.last, 3, other ? far : near, room.now);
-                room.end(request, End::answered);
+                room.room->reported(*room.last->actor(), 3, other ? far : near, room.now);
+                room.end(request, Event::answered);
             }
             seen += "waiting in the own zone " + std::to_string(near) + ", elsewhere " + std::to_string(far) +
                     ": " + std::to_string((others + 5) / 10) + " of 100 go elsewhere\n";
@@ -313,14 +318,14 @@
         for (int at = 0; at < 50; ++at) {
             auto request = room.begin(reading);
             CPPUNIT_ASSERT(room.send(request) != mute);
-            room.end(request, End::answered);
+            room.end(request, Event::answered);
         }
-        room.room->ended(stuck, *owing, End::answered, 200, second, room.now);
+        room.end_(stuck, *owing, Event::answered, 200, second);
         bool again = false;
         for (int at = 0; at < 50; ++at) {
             auto request = room.begin(reading);
-            again = again || room.send(request) == mute;
-            room.end(request, End::answered);
+            again = room.send(request) == mute || again;
+            room.end(request, Event::answered);
         }
         CPPUNIT_ASSERT(again);
     }
