Callers of control: bounds on time and places, and nobody gets another's answer

A caller that said nothing, stopped within a head or body, or never took its answer was held for good, and any number of them; an error of the acceptor was tried again in a tight loop; a body refused as too large was reset under its answer.

CallerBounds names what a caller may take; where all places are taken the one idle longest gives way. Heads over the bound are 431, bytes that are no request 400, and the connection is read on for a second after either. Expect: 100-continue is answered. A gauge counts the callers.

--- a/src/prompter/operator_calls.cpp
+++ b/src/prompter/operator_calls.cpp
@@ -1,5 +1,7 @@
 #include "prompter/operator_calls.hpp"
 
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -21,6 +23,9 @@
 
 constexpr Nanos answerWithin = 900 * ms;  // callers move on after a second
 constexpr std::uint64_t bodyAtMost = 96 << 20;
+constexpr std::uint32_t headAtMost = 64 << 10;
+constexpr std::size_t readAtOnce = 16 << 10;
+constexpr Nanos turnedAwayWithin = second, acceptPause = 20 * ms;
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -122,6 +127,7 @@
     add("foyers_behind", "gauge", behind);
     add("pods", "gauge", pods);
     add("rollouts", "gauge", told.at("rollouts").size());
+    add("operator_callers", "gauge", callers_.size());
     add("operator_calls_total", "counter", calls_);
     add("list_calls_total", "counter", told.at("list_calls"));
     add("list_refused_total", "counter", told.at("list_refused"));
@@ -201,39 +207,108 @@
                                -1, ' ', false, Json::error_handler_t::replace));
 }
 
-Task<> OperatorCalls::caller(tcp::socket socket) {
+void OperatorCalls::left(const std::shared_ptr<Caller>& its) {
+    std::erase(callers_, its);
+    room_.ring();
+}
+
+// Idle callers give way first, then those that take longest to send, then those that take longest to listen.
+bool OperatorCalls::makeRoom() {
+    if (callers_.size() < bounds_.callers) return true;
+    const auto at =
+        std::min_element(callers_.begin(), callers_.end(), [](const auto& one, const auto& other) {
+            return std::tie(one->phase, one->since) < std::tie(other->phase, other->since);
+        });
+    if ((*at)->phase == Phase::answered) return false;
+    log("caller_dropped", {{"step", "control"}, {"callers", callers_.size()}});
+    const auto dropped = *at;
+    left(dropped);
+    dropped->stream.close();
+    return true;
+}
+
+Task<> OperatorCalls::caller(std::shared_ptr<Caller> its) {
+    try {
+        co_await converse(*its);
+    } catch (const std::exception& error) {
+        log("failure", {{"step", "caller"}, {"error", error.what()}});
+    }
+    left(its);
+}
+
+Task<> OperatorCalls::converse(Caller& its) {
+    auto& stream = its.stream;
     beast::flat_buffer buffer;
     for (;;) {
+        Code code;
+        its.enter(Phase::idle);
+        if (buffer.size() == 0) {
+            stream.expires_after(span(bounds_.idle));
+            const auto bytes = co_await stream.async_read_some(buffer.prepare(readAtOnce), told(code));
+            if (code) co_return;
+            buffer.commit(bytes);
+        }
+        its.enter(Phase::sending);
         http::request_parser<http::string_body> parser;
         parser.body_limit(bodyAtMost);
-        parser.header_limit(64 << 10);
-        Code code;
-        co_await http::async_read(socket, buffer, parser, told(code));
-        if (code) {
-            if (code == http::error::body_limit || code == http::error::header_limit ||
-                code == http::error::bad_method) {
-                auto response = wrong(code == http::error::body_limit ? 413 : 400, code.message());
-                response.keep_alive(false), response.prepare_payload();
-                co_await http::async_write(socket, response, told(code));
+        parser.header_limit(headAtMost);
+        stream.expires_after(span(bounds_.head));
+        co_await http::async_read_header(stream, buffer, parser, told(code));
+        if (!code && !parser.is_done()) {
+            stream.expires_after(span(bounds_.body));
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+                const http::response<http::empty_body> goOn(http::status::continue_, 11);
+                co_await http::async_write(stream, goOn, told(code));
             }
-            co_return;
+            if (!code) co_await http::async_read(stream, buffer, parser, told(code));
         }
+        if (code == http::error::body_limit) co_return co_await turnAway(its, wrong(413, code.message()));
+        if (code == http::error::header_limit) co_return co_await turnAway(its, wrong(431, code.message()));
+        // What is no request is told so; one that was cut, or took too long, has nobody to tell.
+        if (code && code.category() == http::make_error_code(http::error::bad_method).category() &&
+            code != http::error::end_of_stream && code != http::error::partial_message)
+            co_return co_await turnAway(its, wrong(400, code.message()));
+        if (code) co_return;
         const auto request = parser.release();
         ++calls_;
+        its.enter(Phase::answered);
         auto response = co_await answer(request);
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
-        co_await http::async_write(socket, response, told(code));
+        its.enter(Phase::taking);
+        stream.expires_after(span(bounds_.taking));
+        co_await http::async_write(stream, response, told(code));
         if (code || !response.keep_alive()) co_return;
     }
 }
 
+// The answer, and the end. What still comes is read for a moment: a close over unread bytes is a reset, which
+// can take the answer away from the caller.
+Task<> OperatorCalls::turnAway(Caller& its, Response response) {
+    Code code;
+    its.enter(Phase::taking);
+    its.stream.expires_after(span(turnedAwayWithin));
+    response.keep_alive(false), response.prepare_payload();
+    co_await http::async_write(its.stream, response, told(code));
+    its.stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    std::array<char, readAtOnce> rest;
+    while (!code) co_await its.stream.async_read_some(asio::buffer(rest), told(code));
+}
+
 Task<> OperatorCalls::serve(tcp::acceptor& control) {
     while (control.is_open()) {
         Code code;
         auto socket = co_await control.async_accept(told(code));
         if (code == asio::error::operation_aborted) co_return;
-        if (!code) start(io_, "caller", caller(std::move(socket)));
+        if (code) {  // no descriptor left, say
+            co_await sleep(acceptPause);
+            continue;
+        }
+        while (!makeRoom()) co_await room_.wait(now() + acceptPause);
+        tune(socket, bounds_.taking);
+        const auto its = std::make_shared<Caller>(std::move(socket));
+        callers_.push_back(its);
+        start(io_, "caller", caller(its));
     }
 }
 
--- a/src/prompter/operator_calls.hpp
+++ b/src/prompter/operator_calls.hpp
@@ -6,13 +6,23 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "prompter/keeper.hpp"
+#include "wings/loop.hpp"
 
 namespace lichenlanding::prompter {
 
+// What a caller may take, of time and of places. Each is far beyond what an operator's client needs.
+struct CallerBounds {
+    Nanos idle = 15 * wings::second;    // between two calls on a connection
+    Nanos head = 3 * wings::second;     // from a head's first byte to its last
+    Nanos body = 30 * wings::second;    // for a body, of 96 MiB at the most
+    Nanos taking = 30 * wings::second;  // for an answer to be taken
+    std::size_t callers = 128;          // connections at once
+};
+
 class OperatorCalls {
   public:
-    // What is asked of the register (Keeper). change() and read() end with null where no majority could be had
-    // in time: then nothing is known either way.
+    // What is asked of the register (Keeper). change() and read() end with null where no majority could be
+    // had in time: then nothing is known either way.
     struct Register {
         std::function<bool()> inContact;
         std::function<Task<std::optional<std::string>>(std::string key, reg::Change, Nanos within)> change;
@@ -25,15 +35,40 @@
 
     // `status`: what this prompter knows, nothing is asked of others. `metrics`: GET /metrics is answered.
     // All outlive this.
-    OperatorCalls(wings::asio::io_context& io, Register its, std::function<Json()> status, bool metrics)
-        : io_(io), register_(std::move(its)), status_(std::move(status)), metrics_(metrics) {}
+    OperatorCalls(wings::asio::io_context& io, Register its, std::function<Json()> status, bool metrics,
+                  CallerBounds bounds = {})
+        : io_(io),
+          register_(std::move(its)),
+          status_(std::move(status)),
+          metrics_(metrics),
+          bounds_(bounds),
+          room_(io) {}
 
-    Task<> serve(wings::tcp::acceptor& control);  // as long as the acceptor is open
+    // As long as the acceptor is open. On one connection calls are answered one after the other, in the order
+    // they came; an answer goes down the connection that its call came by or nowhere. An order goes on when
+    // its caller is gone.
+    Task<> serve(wings::tcp::acceptor& control);
     Task<Response> answer(const Request& request);
     std::uint64_t calls() const { return calls_; }  // taken so far
+    std::size_t callers() const { return callers_.size(); }
 
   private:
-    Task<> caller(wings::tcp::socket socket);
+    // In the order in which callers give way to new ones where all places are taken; one that is being
+    // answered never does.
+    enum class Phase { idle, sending, taking, answered };
+    struct Caller {
+        wings::beast::tcp_stream stream;
+        Phase phase = Phase::idle;
+        Nanos since = 0;  // in the phase
+        explicit Caller(wings::tcp::socket socket) : stream(std::move(socket)) {}
+        void enter(Phase next) { phase = next, since = wings::now(); }
+    };
+
+    Task<> caller(std::shared_ptr<Caller> its);
+    Task<> converse(Caller& its);
+    Task<> turnAway(Caller& its, Response response);
+    void left(const std::shared_ptr<Caller>& its);
+    bool makeRoom();
     Task<Response> ask(const std::string& call, const std::string& of, const std::string& body);
     Task<Response> replace(const std::string& body);
     Task<Response> readBack();
@@ -45,6 +80,9 @@
     Register register_;
     std::function<Json()> status_;
     const bool metrics_;
+    const CallerBounds bounds_;
+    std::vector<std::shared_ptr<Caller>> callers_;
+    wings::Bell room_;  // rung when a caller has left
     std::uint64_t calls_ = 0;
 };
 
--- a/tests/gateway/control_stage.hpp
+++ b/tests/gateway/control_stage.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <deque>
 
@@ -20,7 +21,9 @@
 struct ScriptedRegister {
     enum class Fate { answered, lostBefore, lostAfter };
 
-    explicit ScriptedRegister(asio::io_context& io_) : io(io_) {}
+    explicit ScriptedRegister(asio::io_context& io)
+        : gate(io, std::chrono::steady_clock::time_point::max()) {}
+    void release() { held = false, gate.cancel(); }
     OperatorCalls::Register its() {
         return {[this] { return contact; },
                 [this](std::string key, reg::Change change, Nanos within) {
@@ -35,7 +38,8 @@
         ++asked;
         auto fate = Fate::answered;
         if (!fates.empty()) fate = fates.front(), fates.pop_front();
-        while (held) co_await sleep(ms);
+        Code code;
+        while (held) co_await gate.async_wait(told(code));
         if (fate == Fate::lostBefore) co_return std::nullopt;
         auto& value = values[key];
         value = change(value);
@@ -43,7 +47,7 @@
         co_return value;
     }
 
-    asio::io_context& io;
+    asio::steady_timer gate;  // held runs wait on it
     bool contact = true, held = false;
     std::deque<Fate> fates;  // of the runs to come; answered where there is none
     std::size_t asked = 0;
@@ -60,15 +64,23 @@
     return R"({"service_name":"s","target_version":")" + target + R"(","deadline":")" + deadline + R"("})";
 }
 
+// A caller that writes bytes and reads answers, as the test says.
+struct Caller {
+    explicit Caller(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    std::string seen;  // status and body of each answer, a line each; "end" where the connection ends
+};
+
 class ControlStage {
   public:
-    explicit ControlStage(bool metrics = false)
+    explicit ControlStage(bool metrics = false, prompter::CallerBounds bounds = {})
         : calls(
               io, reg.its(),
               [] {
                   return Json{{"node", "scripted"}};
               },
-              metrics) {}
+              metrics, bounds) {}
     template <typename Done>
     void until(Done done) {
         for (int turns = 0; !done(); ++turns) {
@@ -98,10 +110,60 @@
         return call(name, body).result_int();
     }
 
+    // Over loopback.
+    std::shared_ptr<Caller> connect(int receiveBuffer = 0) {
+        if (!door) {
+            door = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
+            start(io, "control", calls.serve(*door));
+        }
+        auto caller = std::make_shared<Caller>(io);
+        caller->socket.open(tcp::v4());
+        if (receiveBuffer > 0)
+            caller->socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        caller->socket.connect(door->local_endpoint());  // the backlog takes it
+        return caller;
+    }
+    static std::string bytes(const std::string& name, const std::string& body = "",
+                             const std::string& more = "") {
+        return "POST /api/rpc?call=" + name + " HTTP/1.1\r\nHost: c\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    void send(const std::shared_ptr<Caller>& caller, const std::string& sent) {
+        start(io, "send", [](std::shared_ptr<Caller> caller_, std::string sent_) -> Task<> {
+            Code code;
+            co_await asio::async_write(caller_->socket, asio::buffer(sent_), told(code));
+        }(caller, sent));
+    }
+    // Reads so many answers, or to the end of the connection.
+    void listenTo(const std::shared_ptr<Caller>& caller, int answers) {
+        start(io, "listen", [](std::shared_ptr<Caller> caller_, int answers_) -> Task<> {
+            for (; answers_ > 0; --answers_) {
+                http::response<http::string_body> response;
+                Code code;
+                co_await http::async_read(caller_->socket, caller_->buffer, response, told(code));
+                if (code) {
+                    caller_->seen += "end\n";
+                    co_return;
+                }
+                caller_->seen += std::to_string(response.result_int()) + " " + response.body() + "\n";
+            }
+        }(caller, answers));
+    }
+    std::string answers(const std::shared_ptr<Caller>& caller, int count) {
+        caller->seen.clear();
+        listenTo(caller, count);
+        until([&] {
+            return std::count(caller->seen.begin(), caller->seen.end(), '\n') == count ||
+                   caller->seen.ends_with("end\n");
+        });
+        return caller->seen;
+    }
+
     asio::io_context io{1};
     asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
     ScriptedRegister reg{io};
     OperatorCalls calls;
+    std::unique_ptr<tcp::acceptor> door;
 };
 
 }  // namespace control_stage
