Links: large messages go in pieces, beats and small ones between them

Half a megabyte takes 2.4 s on a line of 2 Mbit/s; as one frame it showed the reader nothing for longer than a link is given up after (2.1 s), and whatever came behind it waited. Messages over 64 KB now go as numbered pieces of 32 KB with the CRC of the whole; small ones overtake, a flood of them leaves the large half of the bytes, each piece is a sign of life. The kernel holds 128 KB of a link at most, and a link behind which 160 MB wait is ended (link_behind). Small messages go as they did.

--- a/src/wings/link.cpp
+++ b/src/wings/link.cpp
@@ -15,7 +15,9 @@
 // A machine that is down drops the opening packet, which is sent again after a second: a short first wait and
 // a new connection find it sooner once it is back.
 constexpr Nanos dialFirst = 150 * ms;
-constexpr std::size_t messageAtMost = 80 << 20;
+// Of bytes on their way in the kernel: what is sent next waits behind them.
+constexpr int kernelAtMost = 128 << 10;
+constexpr std::size_t waitingAtMost = 2 * messageAtMost;
 const std::string beatBytes = "p\xf6";  // CBOR null
 
 }  // namespace
@@ -24,15 +26,18 @@
     beast::websocket::stream<beast::tcp_stream> ws;
     explicit Stream(tcp::socket&& socket) : ws(std::move(socket)) {
         ws.binary(true);
-        ws.read_message_max(messageAtMost);
+        ws.read_message_max(wholeAtMost + 1024);  // a frame; large messages come in pieces
         ws.auto_fragment(false);
+        Code ignored;
+        beast::get_lowest_layer(ws).socket().set_option(asio::socket_base::send_buffer_size(kernelAtMost),
+                                                        ignored);
         tune(beast::get_lowest_layer(ws).socket(), silentAfter);
     }
 };
 
 Link::Link(asio::io_context& io, std::string peer_) : peer(std::move(peer_)), io_(io), beat_(beatEvery) {}
 
-std::shared_ptr<const std::string> Link::pack(const Json& message) {
+Packed Link::pack(const Json& message) {
     std::string bytes;
     Json::to_cbor(message, bytes);
     return std::make_shared<const std::string>(squeeze(bytes));
@@ -40,9 +45,13 @@
 
 void Link::send(const Json& message) { send(pack(message)); }
 
-void Link::send(std::shared_ptr<const std::string> packed) {
+void Link::send(Packed packed) {
     if (!open_) return;
-    out_.push_back(std::move(packed));
+    out_.push(std::move(packed));
+    if (out_.bytes() > waitingAtMost) {
+        log("link_behind", {{"peer", peer}, {"step", "send"}, {"bytes", out_.bytes()}});
+        return close();
+    }
     if (!writing_) {
         writing_ = true;
         start(io_, "link write", write(shared_from_this()));
@@ -59,8 +68,7 @@
 Task<> Link::write(std::shared_ptr<Link> self) {
     const auto stream = self->stream_;
     while (self->open_ && !self->out_.empty()) {
-        const auto bytes = self->out_.front();
-        self->out_.pop_front();
+        const auto bytes = self->out_.next();
         Code code;
         co_await stream->ws.async_write(asio::buffer(*bytes), told(code));
         self->sent_ = now();
@@ -88,6 +96,7 @@
     start(self->io_, "link beat", beat(self));
     if (const auto first = owner->greet(*self); !first.is_null()) self->send(first);
     beast::flat_buffer buffer;
+    Assembly assembly;
     while (self->open_) {
         Code code;
         co_await stream->ws.async_read(buffer, told(code));
@@ -95,8 +104,11 @@
         self->heard_ = now();
         Json message(Json::value_t::discarded);
         try {
-            const std::string_view squeezed(static_cast<const char*>(buffer.data().data()), buffer.size());
-            message = Json::from_cbor(unsqueeze(squeezed), true, false);
+            const std::string_view frame(static_cast<const char*>(buffer.data().data()), buffer.size());
+            const auto squeezed = assembly.take(frame);
+            buffer.consume(buffer.size());
+            if (!squeezed) continue;
+            message = Json::from_cbor(unsqueeze(*squeezed), true, false);
         } catch (
             const std::exception&) {  // told below, as what cannot be read (nlohmann throws on absurd sizes)
         }
--- a/src/wings/link.hpp
+++ b/src/wings/link.hpp
@@ -4,12 +4,12 @@
 #pragma once
 
 #include <any>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 
 #include "wings/loop.hpp"
+#include "wings/pieces.hpp"
 
 namespace lichenlanding::wings {
 
@@ -28,13 +28,13 @@
 
     void send(const Json& message);
     // Serialised once for many links.
-    static std::shared_ptr<const std::string> pack(const Json& message);
-    void send(std::shared_ptr<const std::string> packed);
+    static Packed pack(const Json& message);
+    void send(Packed packed);
     void close();
     // Beats so often from now on, and takes three and a half beats of silence for the end. Both sides set it.
     void pace(Nanos beat) { beat_ = beat; }
     bool open() const { return open_; }
-    std::size_t waiting() const { return out_.size(); }  // messages not yet written
+    std::size_t waiting() const { return out_.bytes(); }  // of messages not yet written
 
     std::string peer;  // address, or the name it has given
     std::string kind;  // "foyer", "prompter"; set by the owner
@@ -53,7 +53,7 @@
     asio::io_context& io_;
     struct Stream;
     std::shared_ptr<Stream> stream_;
-    std::deque<std::shared_ptr<const std::string>> out_;
+    Outbox out_;
     bool open_ = false, writing_ = false;
     Nanos heard_ = 0, sent_ = 0, beat_;
 };
