--- a/src/callboard/callboard.cpp
+++ b/src/callboard/callboard.cpp
@@ -10,11 +10,14 @@
 namespace {
 
 constexpr Nanos askAgain = 400'000'000;  // for a configuration that has not come
-// Clocks of machines differ: a pod that a copy newer by this much does not hold is gone.
-constexpr std::int64_t surelyNewer = 5000;
 
 std::size_t rangeOf(const std::string& id) { return company::hash("range", id) % ranges; }
 
+Json write(const Edition& edition) { return Json::array({edition.term, edition.sequence}); }
+Edition readEdition(const Json& from) {
+    return {from.at(0).get<std::uint64_t>(), from.at(1).get<std::uint64_t>()};
+}
+
 }  // namespace
 
 void Callboard::configuration(std::uint32_t version, std::string squeezed) {
@@ -23,10 +26,11 @@
     if (reader_.configuration) reader_.configuration(squeezed_);
 }
 
-void Callboard::rollouts(std::int64_t number, std::string text) {
-    if (number <= number_) return;
+bool Callboard::rollouts(std::int64_t number, std::string text) {
+    if (number <= number_) return false;
     number_ = number, rollouts_ = std::move(text);
     if (reader_.rollouts) reader_.rollouts(rollouts_);
+    return true;
 }
 
 void Callboard::apply(const troupe::Event& event) {
@@ -35,19 +39,26 @@
     if (reader_.pod) reader_.pod(event);
 }
 
-Json Callboard::list(const std::vector<troupe::Member>& members, std::int64_t stamp) {
+Json Callboard::list(const std::vector<troupe::Member>& members, std::uint64_t term) {
+    if (term < std::max(edition_.term, seenTerm_)) return nullptr;  // another has the duty by now
     const auto events = troupe_.towards(members, 0);
-    listed_ = true, stamp_ = std::max(stamp, stamp_);
-    if (events.empty()) return nullptr;
+    const bool first = term > edition_.term;
+    listed_ = true, seenTerm_ = term;
+    if (!first && events.empty()) return nullptr;
+    const auto before =
+        std::exchange(edition_, first ? Edition{term, 1} : Edition{term, edition_.sequence + 1});
     Json set = Json::array(), gone = Json::array();
     for (const auto& event : events) {
         apply(event);
         if (event.gone) gone.push_back(event.member.id);
         else set.push_back(cues::write(event.member));
     }
-    const auto before = std::exchange(change_, std::max(stamp_, change_ + 1));
-    return {{"t", "pods"},     {"after", before}, {"change", change_},
-            {"stamp", stamp_}, {"set", set},      {"gone", gone}};
+    if (first) return nullptr;
+    return {{"t", "pods"},
+            {"after", callboard::write(before)},
+            {"edition", callboard::write(edition_)},
+            {"set", set},
+            {"gone", gone}};
 }
 
 const std::array<std::uint64_t, ranges>& Callboard::sums() const {
@@ -65,7 +76,7 @@
 
 Json Callboard::digest() const {
     auto told = cue();
-    if (listed_) told["stamp"] = stamp_, told["change"] = change_, told["sums"] = sums();
+    if (listed_) told["edition"] = callboard::write(edition_), told["sums"] = sums();
     return told;
 }
 
@@ -99,29 +110,35 @@
     const auto number = theirs.at("rollouts").get<std::int64_t>();
     if (number > number_ && asks) want["rollouts"] = true;
     newer = newer || number < number_;
-    if (!theirs.contains("stamp")) {
+    if (!theirs.contains("edition")) {
         newer = newer || listed_;
     } else {
-        const auto stamp = theirs.at("stamp").get<std::int64_t>();
+        const auto edition = readEdition(theirs.at("edition"));
         const auto told = theirs.at("sums").get<std::array<std::uint64_t, ranges>>();
         const bool same = told == sums();
-        if (same && asks) {
-            if (from == From::prompter || stamp > stamp_ || !listed_)
-                stamp_ = stamp, theirs.at("change").get_to(change_);
-            listed_ = true;
-        } else if (!same && asks && (from == From::prompter || !listed_ || stamp > stamp_)) {
+        seenTerm_ = std::max(seenTerm_, edition.term);
+        if (!asks && edition.term > edition_.term) listed_ = false;  // its duty has gone to another
+        // Of one edition and not the same: a part has been missed. The prompter's word mends it.
+        const bool follows =
+            asks && (!listed_ || edition > edition_ || (from == From::prompter && edition == edition_));
+        if (same && follows) {
+            edition_ = edition, listed_ = true;
+        } else if (follows) {
             Json held = Json::object();
             for (std::size_t range = 0; range < ranges; ++range)
                 if (told[range] != sums()[range]) held[std::to_string(range)] = Json::array();
             for (const auto& [id, _] : troupe_.members())
                 if (const auto of = held.find(std::to_string(rangeOf(id))); of != held.end())
                     of->push_back(id);
-            want["held"] = std::move(held), want["stamp"] = stamp_;
+            want["held"] = std::move(held), want["of"] = theirs.at("edition");
         }
-        newer = newer || (listed_ && !same && (!asks || stamp < stamp_));
+        newer = newer || (listed_ && !same && (edition < edition_ || (!asks && edition == edition_)));
     }
     if (want.size() > 1) reply(std::move(want));
-    if (newer && from != From::prompter && !theirs.contains("back")) {
+    // A prompter that is behind in its term does not know that its duty has gone to another.
+    const bool outrun =
+        listed_ && theirs.contains("edition") && readEdition(theirs.at("edition")).term < edition_.term;
+    if ((from == From::prompter ? outrun : newer) && !theirs.contains("back")) {
         auto mine = digest();
         mine["back"] = true;
         reply(std::move(mine));
@@ -134,37 +151,58 @@
     if (want.contains("rollouts") && number_ >= 0) reply(order());
     const auto held = want.find("held");
     if (held == want.end() || !listed_) return;
+    if (readEdition(want.at("of")) !=
+        edition_) {  // changed meanwhile, maybe in ranges that were not asked for
+        reply(digest());
+        return;
+    }
     std::set<std::string> theirs;
     for (const auto& [_, ids] : held->items())
         for (const auto& id : ids) theirs.insert(id.get<std::string>());
-    Json set = Json::array(), gone = Json::array();
+    Json set = Json::array(), gone = Json::array(), aside = Json::array();
     for (const auto& [id, member] : troupe_.members())
         if (held->contains(std::to_string(rangeOf(id))) && (member.draining || !theirs.contains(id)))
             set.push_back(cues::write(member));
-    const bool sure = stamp_ > want.at("stamp").get<std::int64_t>() + surelyNewer;
+    // What is not in this edition has no place in a copy of it. Gone for good is only what was seen to go:
+    // the other may know a pod that is newer than this edition.
     for (const auto& id : theirs)
-        if (!troupe_.members().contains(id) && (sure || troupe_.left(id))) gone.push_back(id);
-    reply({{"t", "pods"}, {"change", change_}, {"stamp", stamp_}, {"set", set}, {"gone", gone}});
+        if (!troupe_.members().contains(id)) (troupe_.left(id) ? gone : aside).push_back(id);
+    reply({{"t", "pods"},
+           {"edition", callboard::write(edition_)},
+           {"set", set},
+           {"gone", gone},
+           {"aside", aside}});
 }
 
 void Callboard::take(const Json& pods, From from, const Reply& reply) {
-    const auto stamp = pods.at("stamp").get<std::int64_t>();
+    const auto edition = readEdition(pods.at("edition"));
     const auto after = pods.find("after");  // a change names the one before it, a mended copy does not
-    const bool newer = from == From::prompter || !listed_ || stamp > stamp_;
+    // A copy of this very edition mends what was missed of it.
+    const bool newer = !listed_ || edition > edition_ || (from == From::prompter && edition == edition_);
     for (const auto& entry : pods.at("set")) {
         troupe::Event event;
         event.member = cues::readMember(entry);
-        if (newer || event.member.draining) apply(event);
+        // Of an older list only what never goes back is taken.
+        if (newer || (event.member.draining && troupe_.members().contains(event.member.id))) apply(event);
     }
-    for (const auto& id : pods.at("gone")) {
-        troupe::Event event;
-        event.gone = true, id.get_to(event.member.id);
-        apply(event);
-    }
-    if (after != pods.end() && (!listed_ || after->get<std::int64_t>() != change_)) {
+    const auto drop = [&](const char* field, bool aside) {
+        const auto ids = pods.find(field);
+        if (ids == pods.end()) return;
+        for (const auto& id : *ids) {
+            troupe::Event event;
+            event.gone = true, event.aside = aside, id.get_to(event.member.id);
+            apply(event);
+        }
+    };
+    drop("gone", false);
+    if (newer) drop("aside", true);
+    seenTerm_ = std::max(seenTerm_, edition.term);
+    if (from == From::prompter && edition.term < edition_.term) {
+        reply(digest());  // its duty has gone to another, which it may not know
+    } else if (after != pods.end() && newer && (!listed_ || readEdition(*after) != edition_)) {
         reply(digest());  // one has been missed: what differs comes back
     } else if (newer) {
-        listed_ = true, stamp_ = stamp, pods.at("change").get_to(change_);
+        edition_ = edition, listed_ = true;
     }
 }
 
--- a/src/callboard/callboard.hpp
+++ b/src/callboard/callboard.hpp
@@ -4,10 +4,12 @@
 // neighbours what it would have heard from those.
 //
 // Pure: time comes in as an argument, messages come and go as JSON values, in any order, doubled or lost.
-// Nothing goes back: versions and numbers only rise, and a pod only goes from ready to draining to gone.
+// Nothing goes back: versions, numbers and editions only rise, and a pod only goes from ready to draining to
+// gone. No clock tells what is newer.
 #pragma once
 
 #include <array>
+#include <compare>
 #include <functional>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +22,13 @@
 // Pods are compared in so many ranges of the hash of their ids.
 constexpr std::size_t ranges = 16;
 
+// Which list a copy follows: the term of the duty that its holder has, and the changes counted in that term.
+// The higher is the newer; one edition has one content.
+struct Edition {
+    std::uint64_t term = 0, sequence = 0;
+    auto operator<=>(const Edition&) const = default;
+};
+
 class Callboard {
   public:
     // What is done with what is newer. `configuration` gets the bytes as they travel (squeezed).
@@ -37,9 +46,10 @@
 
     // What a prompter knows of itself. `number` of the newest order's change.
     void configuration(std::uint32_t version, std::string squeezed);
-    void rollouts(std::int64_t number, std::string text);
-    // A whole list as the platform gave it at `stamp` (ms of wall clock): the change to be pushed, or null.
-    Json list(const std::vector<troupe::Member>& members, std::int64_t stamp);
+    bool rollouts(std::int64_t number, std::string text);  // false where it is not newer
+    // A whole list as the platform gave it to the holder of the duty in `term` (from 1): the change to be
+    // pushed, or null. The first list of a term is told by digest() instead: nobody can chain a change to it.
+    Json list(const std::vector<troupe::Member>& members, std::uint64_t term);
     void unlisted() { listed_ = false; }  // its list is no longer kept up to date
 
     // What there is, in short: to be told at the start of a connection and from time to time.
@@ -51,6 +61,8 @@
 
     std::uint32_t version() const { return version_; }
     bool listed() const { return listed_; }
+    const Edition& edition() const { return edition_; }
+    std::uint64_t seenTerm() const { return seenTerm_; }  // the highest heard of, own ones among them
     const troupe::Troupe& troupe() const { return troupe_; }
 
   private:
@@ -66,8 +78,8 @@
     std::int64_t number_ = -1;
     std::string rollouts_;
     troupe::Troupe troupe_;
-    std::int64_t stamp_ = 0;   // ms of wall clock: when the list that the copy follows was asked for
-    std::int64_t change_ = 0;  // the stamp of the last change of it: changes name the one before them
+    Edition edition_;             // of the list that the copy follows; changes name the one before them
+    std::uint64_t seenTerm_ = 0;  // the highest heard of
     bool listed_ = false;
     std::uint32_t asked_ = 0;  // for this version, last
     Nanos askedAt_ = 0;
--- a/src/cues/cues.cpp
+++ b/src/cues/cues.cpp
@@ -10,7 +10,10 @@
     X(service, "service") \
     X(target, "target")   \
     X(state, "state")     \
-    X(stage, "stage") X(number, "number") X(began, "began") X(term, "term") X(moved, "moved")
+    X(stage, "stage") X(number, "number") X(term, "term")
+// Not there in values of earlier texts, which kept times of wall clocks: such an order counts from its
+// reading.
+#define ROLLOUT_SPANS(X) X(age, "age") X(inStage, "in_stage")
 
 namespace lichenlanding::cues {
 
@@ -97,8 +100,9 @@
         Json json;
 #define X(field, name) json[name] = rollout.field;
         ROLLOUT_FIELDS(X)
+        ROLLOUT_SPANS(X)
 #undef X
-        list.push_back(std::move(json));
+            list.push_back(std::move(json));
     }
     return list.dump();
 }
@@ -110,6 +114,9 @@
         auto& rollout = rollouts.emplace_back();
 #define X(field, name) json.at(name).get_to(rollout.field);
         ROLLOUT_FIELDS(X)
+#undef X
+#define X(field, name) rollout.field = json.value(name, std::int64_t{0});
+        ROLLOUT_SPANS(X)
 #undef X
     }
     return rollouts;
--- a/src/cues/cues.hpp
+++ b/src/cues/cues.hpp
@@ -36,9 +36,11 @@
 struct Rollout {
     std::string service, target, state = "in_progress";
     int stage = 0;
-    std::int64_t number = 0;           // rises with each change of any rollout
-    std::int64_t began = 0, term = 0;  // milliseconds of wall clock: of the order; allowed from then
-    std::int64_t moved = 0;            // when the stage began
+    std::int64_t number = 0;  // rises with each change of any rollout, but for its ages
+    std::int64_t term = 0;    // milliseconds that it may take
+    // Milliseconds since the order, and in its stage, as of the last write: verdict::Ages counts on from
+    // there.
+    std::int64_t age = 0, inStage = 0;
     bool running() const { return state == "in_progress"; }
 };
 
--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "callboard/callboard.hpp"
+#include "callboard/confidence.hpp"
 #include "company/company.hpp"
 #include "cues/cues.hpp"
 #include "foyer/front.hpp"
@@ -34,8 +35,8 @@
           clients(listen(io, boot.front)),
           probes(listen(io, boot.readiness)),
           doors(listen(io, boot.internal(boot.ip))) {
-        life = (static_cast<std::uint64_t>(seed) << 20) ^ static_cast<std::uint64_t>(wallMillis());
-        casting.common(wallMillis() * ms - now());
+        std::random_device draw;
+        life = (static_cast<std::uint64_t>(draw()) << 32) | draw();
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link& link) { return greet(link); };
         owner->heard = [this](Link& link, const Json& message) { heard(link, message); };
@@ -77,14 +78,51 @@
         } else if (kind == "counts") {
             pool(message);
         } else {
-            using From = callboard::Callboard::From;
-            board.heard(message, prompter ? From::prompter : From::neighbour, now(),
-                        [&](Json reply) { link.send(reply); });
-            if (board.listed()) casting.listed();
+            news(link, message, prompter);
         }
     }
 
+    // What a foyer or a prompter tells, or asks for. Each says whether it speaks, or was told, for a
+    // majority.
+    void news(Link& link, const Json& message, bool prompter) {
+        using From = callboard::Callboard::From;
+        const bool sure = message.value("sure", true);
+        const auto& kind = message.at("t").get_ref<const std::string&>();
+        if (kind != "want") {
+            if (prompter) reached(confidence.heard(link.peer, sure, now()));
+            if (!confidence.takes(sure, board.version() > 0, now())) return;
+        }
+        board.heard(message, prompter ? From::prompter : From::neighbour, now(), [&](Json reply) {
+            if (reply.at("t") != "want") reply["sure"] = confidence.sure();
+            link.send(reply);
+        });
+        if (sure && board.version() > 0 &&
+            (kind == "configuration" || (kind == "digest" && message.at("configuration") <= board.version())))
+            confidence.holds(true);
+        // Foyers that turn from pod to pod together do so by the clock of who tells them the list, not by
+        // theirs.
+        if (prompter && kind == "digest" && message.contains("clock"))
+            casting.common(message.at("clock").get<std::int64_t>() * ms - now());
+        if (board.listed()) casting.listed();
+    }
+
+    void reached(callboard::Confidence::Change change) {
+        using Change = callboard::Confidence::Change;
+        if (change == Change::none) return;
+        log(change == Change::unsure ? "news_unsure" : "news_sure",
+            {{"step", "news"},
+             {"configuration", playbill::versionText(board.version())},
+             {"held_sure", confidence.sure()}});
+    }
+
+    Json digest() const {
+        auto told = board.digest();
+        told["sure"] = confidence.sure();
+        return told;
+    }
+
     void closed(Link& link) {
+        if (link.kind == "prompter") reached(confidence.parted(link.peer, now()));
         if (rosters.erase(link.peer) > 0) enrol();
         for (const auto& name : watching)
             if (const auto at = foyers.find(name);
@@ -153,7 +191,7 @@
     Task<> watch() {
         for (;;) {
             co_await sleep(boot.heartbeat);
-            const auto packed = Link::pack(board.digest());
+            const auto packed = Link::pack(digest());
             for (const auto& name : watching)
                 if (const auto peer = peers.find(foyers.at(name)); peer != peers.end())
                     if (const auto link = peer->second->link()) link->send(packed);
@@ -288,6 +326,11 @@
                 doubtUntil = now() + wakeWithin;
                 log("woke", {{"stood_ms", gap / ms}});
             }
+            if (confidence.waited(board.version() > 0, now())) {
+                log("news_taken_unsure", {{"step", "news"}, {"waited_ms", confidence.unsureWait / ms}});
+                const auto packed = Link::pack(digest());
+                for (const auto& link : prompters()) link->send(packed);
+            }
             front.sweep(now());
             upstream.sweep(now());
             if (ready() != was) {
@@ -370,6 +413,7 @@
                                     watchRollouts();
                                 },
                                 [this](const troupe::Event& event) { casting.apply(event, now()); }}};
+    callboard::Confidence confidence;
     std::vector<std::string> watching;  // foyers
     Nanos turned = now(), doubtUntil = 0;
     bool leaving = false, counting = false;
--- /dev/null
+++ b/src/prompter/duty_holder.hpp
@@ -0,0 +1,49 @@
+// This prompter's part in the duties: it stands for those that nobody has, by a ballot in the register, and
+// has one only while it is in contact with a majority and the register names it. When to stand is
+// src/duties'.
+#pragma once
+
+#include "duties/duties.hpp"
+#include "prompter/keeper.hpp"
+
+namespace lichenlanding::prompter {
+
+inline const std::string listDuty = "list", rolloutsDuty = "rollouts";
+
+class DutyHolder {
+  public:
+    // `hears`: addresses of the prompters heard of late; `listTerm`: the highest that foyers have told. A
+    // register that was set up anew from an old copy may stand below it; then the holder raises it. All
+    // outlive this.
+    DutyHolder(Keeper& keeper, duties::Self self, std::function<std::set<std::string>()> hears,
+               std::function<std::uint64_t()> listTerm);
+
+    Task<> run();  // for good
+    bool has(const std::string& duty) const;
+    std::uint64_t term(const std::string& duty) const;  // of the present holder; 0: none
+
+    Json hears() const { return hears_(); }                  // to be told to the other prompters
+    void heard(const std::string& from, const Json& hears);  // as another told it
+    Json describe() const;                                   // for `status`
+
+  private:
+    struct Row {
+        std::set<std::string> hears;
+        Nanos at = 0;
+    };
+    duties::Hears rows() const;
+    Task<> take(std::string duty, std::uint64_t seen);
+    const duties::Duties& held() const;
+
+    Keeper& keeper_;
+    duties::Self self_;
+    std::function<std::set<std::string>()> hears_;
+    std::function<std::uint64_t()> listTerm_;
+    std::map<std::string, duties::Watch> watches_;  // by duty
+    std::map<std::string, Row> rows_;               // by prompter's address
+    bool confirmed_ = false;                        // read from a majority since contact was had again
+    mutable reg::Ballot readAt_;
+    mutable duties::Duties read_;
+};
+
+}  // namespace lichenlanding::prompter
--- a/src/prompter/list_duty.cpp
+++ b/src/prompter/list_duty.cpp
@@ -32,13 +32,13 @@
     beast::flat_buffer buffer;
     bool connected = false;
     for (;;) {
-        if (!held_()) {
+        const auto term = term_();
+        if (term == 0) {
             board_.unlisted();
             co_await sleep(pollPause / 3);
             continue;
         }
         const Nanos started = now();
-        const auto asked = wallMillis();
         std::vector<troupe::Member> members;
         std::string token;
         bool whole = false;
@@ -84,15 +84,16 @@
             stream = std::make_shared<beast::tcp_stream>(io_);
             connected = false, whole = false;
         }
-        if (whole) took(members, asked);
+        if (whole && term_() == term) took(members, term);
         const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * pages);
         co_await sleep(std::max(started + every - now(), 20 * ms));
     }
 }
 
-void ListDuty::took(const std::vector<troupe::Member>& members, std::int64_t asked) {
-    const bool first = !board_.listed();
-    const auto change = board_.list(members, asked);
+void ListDuty::took(const std::vector<troupe::Member>& members, std::uint64_t term) {
+    const bool first = !board_.listed() || board_.edition().term != term;
+    const auto change = board_.list(members, term);
+    if (!board_.listed()) return;  // a higher term has been heard of
     if (!change.is_null()) tell_(change);
     // Now and then all of it is compared: what was missed by any way is mended.
     if (!first && now() - compared_ < compareEvery) return;
--- a/src/prompter/list_duty.hpp
+++ b/src/prompter/list_duty.hpp
@@ -11,10 +11,10 @@
   public:
     using Json = nlohmann::json;
 
-    // `held`: whether the duty is this prompter's now; `tell`: to all foyers. All outlive this.
+    // `term`: of the duty while it is this prompter's, else 0; `tell`: to all foyers. All outlive this.
     ListDuty(wings::asio::io_context& io, const playbill::Boot& boot, callboard::Callboard& board,
-             std::function<bool()> held, std::function<void(const Json&)> tell)
-        : io_(io), boot_(boot), board_(board), held_(std::move(held)), tell_(std::move(tell)) {}
+             std::function<std::uint64_t()> term, std::function<void(const Json&)> tell)
+        : io_(io), boot_(boot), board_(board), term_(std::move(term)), tell_(std::move(tell)) {}
 
     wings::Task<> poll();  // for good; off duty it only waits
 
@@ -23,12 +23,12 @@
 
   private:
     Nanos callGap() const;
-    void took(const std::vector<troupe::Member>& members, std::int64_t asked);
+    void took(const std::vector<troupe::Member>& members, std::uint64_t term);
 
     wings::asio::io_context& io_;
     const playbill::Boot& boot_;
     callboard::Callboard& board_;
-    std::function<bool()> held_;
+    std::function<std::uint64_t()> term_;
     std::function<void(const Json&)> tell_;
     std::uint64_t calls_ = 0, refused_ = 0;
     Nanos compared_ = 0;
--- a/src/prompter/operator_calls.cpp
+++ b/src/prompter/operator_calls.cpp
@@ -180,7 +180,6 @@
     } catch (const std::exception&) {
         co_return wrong(400, "must hold service_name, target_version and deadline (\"12s\")");
     }
-    order.began = wallMillis();
     const reg::Change add = changing([order](const std::string& held) { return orders::begin(held, order); });
     const auto held = co_await register_.change(rolloutsKey, add, answerWithin);
     if (!held) co_return later("register: no majority has synced it");
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -1,10 +1,12 @@
 #include "prompter/prompter.hpp"
 
+#include <random>
+
 #include "callboard/callboard.hpp"
-#include "company/company.hpp"
 #include "cues/cues.hpp"
 #include "orders/configuration.hpp"
 #include "playbill/playbill.hpp"
+#include "prompter/duty_holder.hpp"
 #include "prompter/keeper.hpp"
 #include "prompter/list_duty.hpp"
 #include "prompter/operator_calls.hpp"
@@ -16,9 +18,14 @@
 
 using namespace wings;
 
-constexpr Nanos dutyAlone = 1200 * ms;  // a start without links waits so long before it takes a duty
 constexpr Nanos tellKnownEvery = 500 * ms;
 constexpr Nanos rosterAfter = 400 * ms;
+constexpr Nanos contactEvery = 50 * ms;
+
+std::uint64_t drawnLife() {
+    std::random_device draw;
+    return (static_cast<std::uint64_t>(draw()) << 32) | draw();
+}
 
 struct Foyer {
     std::shared_ptr<Link> link;
@@ -35,11 +42,13 @@
               io, boot, [this](const std::string& key) { learnt(key); }, Keeper::onDisk(boot_)),
           control(listen(io, boot.control)),
           peers(listen(io, boot.internal(boot.ip))),
+          duties(
+              keeper, {me(), drawnLife()}, [this] { return hears(); }, [this] { return board.seenTerm(); }),
           list(
-              io, boot, board, [this] { return onDuty("list"); },
+              io, boot, board, [this] { return duties.has(listDuty) ? duties.term(listDuty) : 0; },
               [this](const Json& message) { tellAll(message); }),
           rollouts(
-              keeper, [this] { return startedReading && onDuty("rollouts"); },
+              keeper, [this] { return startedReading && duties.has(rolloutsDuty); },
               [this] { return foyerNames(); }),
           operatorCalls(
               io, OperatorCalls::Register::of(keeper), [this] { return status(); }, metrics) {
@@ -72,12 +81,16 @@
 
     void heard(Link& link, const Json& message) {
         const auto& kind = message.at("t").get_ref<const std::string&>();
+        if (kind == "known") {
+            if (message.contains("hears")) duties.heard(link.peer, message.at("hears"));
+            if (message.contains("ages")) rollouts.learn(message.at("ages"));
+        }
         if (kind == "hello") {
             hello(link, message);
         } else if (keeper.heard(link, message)) {
         } else if (kind == "want" || kind == "digest") {
             board.heard(message, callboard::Callboard::From::follower, now(),
-                        [&](Json reply) { link.send(reply); });
+                        [&](Json reply) { link.send(word(std::move(reply))); });
         } else if (kind == "lost") {
             const auto at = foyers.find(message.at("name").get<std::string>());
             if (at != foyers.end()) at->second.missedBy.insert(link.peer);
@@ -99,11 +112,12 @@
                 keeper.joined(at, link.shared_from_this());
             keeper.greeted(message);
             for (const auto& member : message.at("members")) dial(member.get<std::string>());
+            sayKnown();
             return;
         }
         link.peer = message.at("name").get<std::string>();
         foyers[link.peer] = {link.shared_from_this(), at, message.at("life").get<std::uint64_t>(), 0, {}};
-        link.send(board.digest());
+        link.send(word(board.digest()));
         roster();
     }
 
@@ -111,7 +125,7 @@
         if (link.kind == "prompter") {
             const auto dialer = dialers.find(link.peer);
             if (dialer != dialers.end() && dialer->second && !dialer->second->link())
-                keeper.parted(link.peer);
+                keeper.parted(link.peer), sayKnown();
         } else if (const auto at = foyers.find(link.peer);
                    at != foyers.end() && at->second.link.get() == &link) {
             foyers.erase(at);
@@ -121,8 +135,15 @@
 
     // ---- Cues. ----
 
+    // Each word to foyers says whether it speaks for a majority. The clock is for what foyers do together.
+    Json word(Json message) const {
+        message["sure"] = keeper.inContact();
+        if (message.contains("sums")) message["clock"] = now() / ms;
+        return message;
+    }
+
     void tellAll(const Json& message) {
-        const auto packed = Link::pack(message);
+        const auto packed = Link::pack(word(message));
         for (const auto& [_, foyer] : foyers) foyer.link->send(packed);
     }
 
@@ -150,8 +171,9 @@
                 return log("value_unreadable", {{"step", "learnt"}, {"error", error.what()}});
             }
             tellAll(board.cue());
-        } else if (key == rolloutsKey && startedReading) {
-            pinRollouts();
+        } else if (key == rolloutsKey) {
+            rollouts.learnt();
+            if (startedReading) pinRollouts();
         }
     }
 
@@ -159,8 +181,7 @@
         const auto& text = keeper.known(rolloutsKey).value;
         std::int64_t number = 0;
         for (const auto& rollout : cues::readRollouts(text)) number = std::max(number, rollout.number);
-        board.rollouts(number, text);
-        tellAll(board.order());
+        if (board.rollouts(number, text)) tellAll(board.order());  // not where ages alone have changed
     }
 
     // Before rollouts have been read from a majority nothing is said of them.
@@ -176,23 +197,40 @@
     Task<> tellKnown() {
         for (;;) {
             co_await sleep(tellKnownEvery);
-            Json ballots = Json::object();
-            for (const auto& key : keys)
-                if (const auto& known = keeper.known(key); known.ballot.round > 0)
-                    ballots[key] = cues::write(known.ballot);
-            const auto packed = Link::pack(Json{{"t", "known"}, {"ballots", std::move(ballots)}});
-            for (const auto& [address, dialer] : dialers)
-                if (dialer)
-                    if (auto link = dialer->link()) link->send(packed);
+            sayKnown();
+        }
+    }
+
+    void sayKnown() {
+        Json ballots = Json::object();
+        for (const auto& key : keys)
+            if (const auto& known = keeper.known(key); known.ballot.round > 0)
+                ballots[key] = cues::write(known.ballot);
+        const auto packed = Link::pack(Json{{"t", "known"},
+                                            {"ballots", std::move(ballots)},
+                                            {"hears", duties.hears()},
+                                            {"ages", rollouts.ages()}});
+        for (const auto& [address, dialer] : dialers)
+            if (dialer)
+                if (auto link = dialer->link()) link->send(packed);
+    }
+
+    // Foyers are told at once when contact with a majority is lost or had again.
+    Task<> tellContact() {
+        for (bool was = false;;) {
+            co_await sleep(contactEvery);
+            if (std::exchange(was, keeper.inContact()) == was) continue;
+            log(was ? "contact" : "contact_lost", {{"step", "register"}});
+            tellAll(board.digest());
         }
     }
 
     // ---- Duties, each by one prompter. ----
 
-    std::vector<std::string> alive() const {
-        std::vector<std::string> all{me()};
+    std::set<std::string> hears() const {
+        std::set<std::string> all;
         for (const auto& [address, dialer] : dialers)
-            if (dialer && dialer->link() && keeper.members().contains(address)) all.push_back(address);
+            if (dialer && dialer->link()) all.insert(address);
         return all;
     }
 
@@ -202,12 +240,6 @@
         return names;
     }
 
-    bool onDuty(const char* duty) const {
-        const auto all = alive();
-        if (all.size() == 1 && boot.machinesLost > 0 && now() - began < dutyAlone) return false;
-        return company::chosen(all, duty, 1).front() == me();
-    }
-
     // ---- Status. ----
 
     // What this prompter knows; nothing is asked of others.
@@ -219,6 +251,7 @@
             {"reached", keeper.reached()},
             {"configuration", board.version() ? playbill::versionText(board.version()) : ""},
             {"duty", Json::array()},
+            {"duties", duties.describe()},
             {"foyers", Json::object()},
             {"pods", Json::object()},
             {"rollouts",
@@ -227,8 +260,8 @@
             {"calls", operatorCalls.calls()},
             {"list_calls", list.calls()},
             {"list_refused", list.refused()}};
-        for (const auto* duty : {"list", "rollouts"})
-            if (onDuty(duty)) told["duty"].push_back(duty);
+        for (const auto& duty : {listDuty, rolloutsDuty})
+            if (duties.has(duty)) told["duty"].push_back(duty);
         for (const auto& [name, foyer] : foyers)
             told["foyers"][name] = {{"at", foyer.address},
                                     {"life", foyer.life},
@@ -271,6 +304,8 @@
         start(io, "register", keeper.tend());
         start(io, "register", readFirst());
         start(io, "known", tellKnown());
+        start(io, "contact", tellContact());
+        start(io, "duties", duties.run());
         start(io, "list", list.poll());
         start(io, "rollouts", rollouts.steer());
         io.run();
@@ -284,10 +319,10 @@
     std::map<std::string, std::shared_ptr<Dialer>> dialers;  // by address
     std::map<std::string, Foyer> foyers;                     // by name
     callboard::Callboard board{{}};
+    DutyHolder duties;
     ListDuty list;
     RolloutsDuty rollouts;
     OperatorCalls operatorCalls;
-    const Nanos began = now();
     bool startedReading = false, rosterDue = false;
 };
 
--- a/src/prompter/rollouts_duty.cpp
+++ b/src/prompter/rollouts_duty.cpp
@@ -12,9 +12,56 @@
 
 constexpr Nanos steerEvery = 200 * ms;
 constexpr Nanos decideWithin = 900 * ms;
+constexpr Nanos writeAgesEvery = second;  // a restart of all prompters loses no more of an order's age
+
+// An order of one service and version may come again, with another term, once the first has ended.
+std::string nameOf(const cues::Rollout& rollout) {
+    return rollout.service + "\n" + rollout.target + "\n" + std::to_string(rollout.term);
+}
 
 }  // namespace
 
+void RolloutsDuty::learnt() {
+    running_.clear();
+    for (const auto& rollout : cues::readRollouts(keeper_.known(rolloutsKey).value)) {
+        if (!rollout.running()) continue;
+        running_.insert(nameOf(rollout));
+        ages_.learn(nameOf(rollout), {rollout.age, rollout.stage, rollout.inStage}, now());
+    }
+    ages_.keep(running_);
+}
+
+void RolloutsDuty::learn(const Json& ages) {
+    for (const auto& one : ages)
+        if (const auto name = one.at(0).get<std::string>(); running_.contains(name))
+            ages_.learn(name,
+                        {one.at(1).get<std::int64_t>(), one.at(2).get<int>(), one.at(3).get<std::int64_t>()},
+                        now());
+}
+
+Json RolloutsDuty::ages() const {
+    Json told = Json::array();
+    for (const auto& name : running_) {
+        const auto age = ages_.at(name, now());
+        told.push_back({name, age.order, age.stage, age.inStage});
+    }
+    return told;
+}
+
+Task<> RolloutsDuty::writeAges() {
+    const reg::Change older = [this](const std::string& value) {
+        auto all = cues::readRollouts(value);
+        for (auto& one : all) {
+            if (!one.running()) continue;
+            const auto age = ages_.at(nameOf(one), now());
+            one.age = std::max(one.age, age.order);
+            if (age.stage == one.stage) one.inStage = std::max(one.inStage, age.inStage);
+        }
+        return cues::write(all);
+    };
+    co_await keeper_.change(rolloutsKey, older, decideWithin);
+}
+
 void RolloutsDuty::heard(const Json& vote) {
     const auto key = vote.at("service").get<std::string>() + "\n" + vote.at("target").get<std::string>();
     votes_[key][vote.at("from").get<std::string>()] = {static_cast<Verdict>(vote.at("verdict").get<int>()),
@@ -35,6 +82,9 @@
         if (!held_()) continue;
         for (const auto& rollout : cues::readRollouts(keeper_.known(rolloutsKey).value))
             if (rollout.running()) co_await steer(rollout);
+        if (running_.empty() || now() - written_ < writeAgesEvery) continue;
+        written_ = now();
+        co_await writeAges();
     }
 }
 
@@ -51,20 +101,21 @@
         ballots.back += at->second.verdict == Verdict::back;
         said.push_back(at->second.about);
     }
-    const auto elapsed = wallMillis() - rollout.began;
-    const auto move =
-        verdict::nextMove(rollout.stage, ballots, elapsed, wallMillis() - rollout.moved, rollout.term);
+    const auto age = ages_.at(nameOf(rollout), now());
+    const auto inStage = age.stage == rollout.stage ? age.inStage : 0;
+    const auto move = verdict::nextMove(rollout.stage, ballots, age.order, inStage, rollout.term);
     if (!move) co_return;
     auto to = rollout;
     if (move->completed || move->rolledBack) to.state = move->completed ? "completed" : "rolled_back";
-    else ++to.stage, to.moved = wallMillis();
+    else ++to.stage;
+    to.age = age.order, to.inStage = 0;
     const char* why = move->why;
     log("rollout", {{"service", to.service},
                     {"target", to.target},
                     {"state", to.state},
                     {"stage", to.stage},
                     {"why", why},
-                    {"elapsed_ms", elapsed},
+                    {"elapsed_ms", age.order},
                     {"votes", said}});
     // A local, not a temporary of the awaited call: GCC 12 destroys such a one twice.
     const reg::Change decide = [rollout, to](const std::string& value) {
--- a/src/prompter/rollouts_duty.hpp
+++ b/src/prompter/rollouts_duty.hpp
@@ -4,6 +4,7 @@
 #include "cues/cues.hpp"
 #include "prompter/keeper.hpp"
 #include "verdict/rollout.hpp"
+#include "verdict/stages.hpp"
 
 namespace lichenlanding::prompter {
 
@@ -18,6 +19,12 @@
     Task<> steer();                // for good; off duty it only waits
     Json votes() const;            // those that count now, for `status`
 
+    // Ages of the running orders go by steady clocks: on duty or not, each prompter counts on from what the
+    // register and the others say, so that it knows them when the duty comes to it.
+    void learnt();                 // the register has another value
+    void learn(const Json& ages);  // another prompter's ages()
+    Json ages() const;
+
   private:
     struct Vote {
         Verdict verdict = Verdict::none;
@@ -27,11 +34,15 @@
     };
 
     Task<> steer(cues::Rollout rollout);
+    Task<> writeAges();
 
     Keeper& keeper_;
     std::function<bool()> held_;
     std::function<std::vector<std::string>()> foyers_;
     std::map<std::string, std::map<std::string, Vote>> votes_;  // by rollout and voter
+    verdict::Ages ages_;
+    std::set<std::string> running_;  // orders, as `ages_` names them
+    Nanos written_ = 0;
 };
 
 }  // namespace lichenlanding::prompter
--- a/src/troupe/troupe.cpp
+++ b/src/troupe/troupe.cpp
@@ -5,7 +5,7 @@
 bool Troupe::apply(const Event& event) {
     const auto& id = event.member.id;
     if (event.gone) {
-        left_.insert(id);
+        if (!event.aside) left_.insert(id);
         return members_.erase(id) > 0;
     }
     if (left_.contains(id)) return false;
@@ -28,10 +28,10 @@
         there.insert(member.id);
         const auto at = members_.find(member.id);
         const bool known = at != members_.end() && (at->second.draining || !member.draining);
-        if (!known && !left_.contains(member.id)) events.push_back({++after, member, false});
+        if (!known && !left_.contains(member.id)) events.push_back({++after, member, false, false});
     }
     for (const auto& [id, member] : members_)
-        if (!there.contains(id)) events.push_back({++after, member, true});
+        if (!there.contains(id)) events.push_back({++after, member, true, false});
     return events;
 }
 
--- a/src/troupe/troupe.hpp
+++ b/src/troupe/troupe.hpp
@@ -1,7 +1,8 @@
 // The pods: what the platform's list says of them, as numbered events and the view folded from them.
 //
 // Pure. A pod (one life, by its instance id) only ever goes from ready to draining to gone: an older list, or
-// one by another way, brings nobody back.
+// one by another way, brings nobody back. A pod that is set aside is in this view no more, but a newer list
+// may name it again.
 #pragma once
 
 #include <map>
@@ -27,7 +28,8 @@
 struct Event {
     std::uint64_t number = 0;
     Member member;
-    bool gone = false;  // then only the id counts
+    bool gone = false;   // then only the id counts
+    bool aside = false;  // gone, as far as is known: not seen to go
 };
 
 class Troupe {
--- a/src/verdict/stages.cpp
+++ b/src/verdict/stages.cpp
@@ -1,5 +1,7 @@
 #include "verdict/stages.hpp"
 
+#include <algorithm>
+
 namespace lichenlanding::verdict {
 namespace {
 
@@ -8,8 +10,34 @@
 constexpr std::int64_t moved = 2500;      // with all traffic, before the old pods are let go
 constexpr std::int64_t undecided = 700;   // before the term, so that it is told in time
 
+constexpr Nanos ms = 1'000'000;
+constexpr std::int64_t oldest = 7 * 24 * 3600 * std::int64_t{1000};  // no order runs for a week
+
 }  // namespace
 
+void Ages::learn(const std::string& order, const Age& told, Nanos now) {
+    const auto since = [now](std::int64_t age) {
+        return now - std::clamp<std::int64_t>(age, 0, oldest) * ms;
+    };
+    const auto [at, anew] =
+        began_.try_emplace(order, Began{since(told.order), since(told.inStage), told.stage});
+    if (anew) return;
+    auto& began = at->second;
+    began.order = std::min(began.order, since(told.order));
+    if (told.stage > began.at) began.at = told.stage, began.stage = since(told.inStage);
+    else if (told.stage == began.at) began.stage = std::min(began.stage, since(told.inStage));
+}
+
+Age Ages::at(const std::string& order, Nanos now) const {
+    const auto at = began_.find(order);
+    if (at == began_.end()) return {};
+    return {(now - at->second.order) / ms, at->second.at, (now - at->second.stage) / ms};
+}
+
+void Ages::keep(const std::set<std::string>& running) {
+    std::erase_if(began_, [&](const auto& one) { return !running.contains(one.first); });
+}
+
 std::optional<Move> nextMove(int stage, const Ballots& ballots, std::int64_t elapsed, std::int64_t inStage,
                              std::int64_t term) {
     const auto majority = ballots.voters / 2 + 1;
--- a/src/verdict/stages.hpp
+++ b/src/verdict/stages.hpp
@@ -1,10 +1,13 @@
 // The stages of a rollout: what the voters' word and the time since the order make of it. Pure; spans in
-// milliseconds of wall clock, as the order's term is told.
+// milliseconds, as the order's term is told, each counted by somebody's steady clock.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "state.hpp"
 
@@ -33,4 +36,28 @@
 std::optional<Move> nextMove(int stage, const Ballots& ballots, std::int64_t elapsed, std::int64_t inStage,
                              std::int64_t term);
 
+// How old an order is, in milliseconds.
+struct Age {
+    std::int64_t order = 0;    // since it was given
+    int stage = 0;             // that it is in
+    std::int64_t inStage = 0;  // since that stage began
+    bool operator==(const Age&) const = default;
+};
+
+// Ages of the running orders, counted on by the own steady clock from what was handed on: by the register (as
+// of its last write) and by other prompters. Of two words the larger holds, as a span only loses on its way.
+class Ages {
+  public:
+    void learn(const std::string& order, const Age& told, Nanos now);
+    Age at(const std::string& order, Nanos now) const;  // nothing known of it: zero
+    void keep(const std::set<std::string>& running);    // forgets all others
+
+  private:
+    struct Began {
+        Nanos order = 0, stage = 0;
+        int at = 0;
+    };
+    std::map<std::string, Began> began_;
+};
+
 }  // namespace lichenlanding::verdict
--- a/src/wings/loop.hpp
+++ b/src/wings/loop.hpp
@@ -37,11 +37,6 @@
                std::chrono::steady_clock::now().time_since_epoch())
         .count();
 }
-inline std::int64_t wallMillis() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
 inline std::chrono::nanoseconds span(Nanos nanos) { return std::chrono::nanoseconds(nanos); }
 inline std::chrono::steady_clock::time_point point(Nanos at) {
     return std::chrono::steady_clock::time_point(std::chrono::nanoseconds(at));
--- a/tests/fuzz/gateway.cpp
+++ b/tests/fuzz/gateway.cpp
@@ -8,10 +8,13 @@
 
 #include "callboard/callboard.hpp"
 #include "cues/cues.hpp"
+#include "duties/duties.hpp"
+#include "orders/configuration.hpp"
 #include "playbill/boot.hpp"
 #include "playbill/playbill.hpp"
 #include "seeded.hpp"
 #include "wings/pack.hpp"
+#include "wings/pieces.hpp"
 
 using namespace lichenlanding;
 using Json = nlohmann::json;
@@ -125,6 +128,81 @@
     }
 }
 
+// Frames cut from the bytes (each length in two bytes): what is put together was all there; then the bytes
+// themselves, made large, there and back, with one frame spoilt on the way.
+void pieces(std::string_view bytes) {
+    wings::Assembly in;
+    std::size_t given = 0;
+    try {
+        for (auto left = bytes; left.size() >= 2;) {
+            const auto length =
+                std::size_t{static_cast<unsigned char>(left[0])} << 8 | static_cast<unsigned char>(left[1]);
+            left.remove_prefix(2);
+            const auto frame = left.substr(0, length);
+            left.remove_prefix(frame.size());
+            given += frame.size();
+            if (const auto whole = in.take(frame)) insist(whole->size() <= given);
+        }
+    } catch (const std::runtime_error&) {
+    }
+    if (bytes.empty()) return;
+    std::string large;
+    while (large.size() <= wings::wholeAtMost + bytes.size()) large += bytes;
+    wings::Outbox out;
+    out.push(std::make_shared<const std::string>(large));
+    out.push(std::make_shared<const std::string>(large));
+    const auto spoilt = 1 + static_cast<unsigned char>(bytes.front()) % 2;
+    wings::Assembly back;
+    std::optional<std::string> first;
+    try {
+        for (int frames = 0; !out.empty(); ++frames) {
+            auto frame = *out.next();
+            if (first && frames % 3 == spoilt) frame[frame.size() - 1] ^= 1;
+            const auto whole = back.take(frame);
+            if (whole && !first) insist(*whole == large);
+            insist(!whole || !first || *whole == large);
+            if (whole) first = whole;
+        }
+    } catch (const std::runtime_error&) {
+        insist(first.has_value());  // only what was spoilt is refused
+    }
+}
+
+void orders_(std::string_view bytes) {
+    try {
+        const std::string value(bytes);
+        const auto held = orders::read(value);
+        const auto written = orders::write(held);
+        insist(orders::write(orders::read(written)) == written);
+        insist(orders::version(value) == held.version && orders::squeezed(value) == held.squeezed);
+        if (value.starts_with("o1")) insist(written == value);
+        const auto order = orders::order(held.version + 1, "body");
+        if (held.version < std::numeric_limits<std::uint32_t>::max()) {
+            const auto after = orders::change(value, order);
+            insist(orders::recalled(after, order) != orders::Recalled::unknown);
+            insist(orders::change(after, order) == after);
+        }
+    } catch (const orders::Unreadable&) {
+    }
+}
+
+void duties_(std::string_view bytes) {
+    try {
+        const auto read = duties::read(std::string(bytes));
+        insist(duties::read(duties::write(read)) == read);
+        const duties::Self self{"10.1.0.1:7720", 7};
+        for (const auto& [name, duty] : read) {
+            if (duty.term > std::uint64_t{1} << 62) continue;
+            const auto taken = duties::read(duties::taking(name, self, duty.term)(std::string(bytes)));
+            insist(duties::holds(taken.at(name), self) && taken.at(name).term == duty.term + 1);
+            insist(taken.size() == read.size());
+            if (duty.term > 0)
+                insist(duties::read(duties::taking(name, self, duty.term - 1)(std::string(bytes))) == read);
+        }
+    } catch (const Json::exception&) {
+    }
+}
+
 void request(std::string_view bytes) {
     namespace http = boost::beast::http;
     http::request_parser<http::string_body> parser;
@@ -144,7 +222,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     if (size == 0) return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-    switch (data[0] % 8) {
+    switch (data[0] % 11) {
         case 0:
             configuration(bytes);
             break;
@@ -166,8 +244,17 @@
         case 6:
             request(bytes);
             break;
-        default:
+        case 7:
             news(bytes);
+            break;
+        case 8:
+            pieces(bytes);
+            break;
+        case 9:
+            duties_(bytes);
+            break;
+        default:
+            orders_(bytes);
     }
     return 0;
 }
@@ -188,11 +275,11 @@
     const auto pod = [](const char* id, bool draining) {
         return troupe::Member{id, "s", "1.1.1.1:1", "z", "v1", 2, draining, 0};
     };
-    told.push_back(board.list({pod("i-1", false), pod("i-2", true)}, 1000));
+    told.push_back(board.list({pod("i-1", false), pod("i-2", true)}, 1));
     told.push_back(board.digest());
     told.push_back({{"t", "configuration"}, {"version", 7}, {"squeezed", cues::writeText("seven")}});
     told.push_back(board.order());
-    told.push_back(board.list({pod("i-2", true), pod("i-3", false)}, 2000));
+    told.push_back(board.list({pod("i-2", true), pod("i-3", false)}, 1));
     std::string heard;
     Json::to_cbor(told, heard);
     cues::Rollout order;
@@ -211,6 +298,12 @@
             R"({"service_name":"s","address":"1.1.1.1:1","zone":"z","config_version":"v1","capacity_slots":2,"state":"ready","warmup_left":"10ms","instance_id":"i"})"),
         seed(4, cues::write(std::vector{order})),
         seed(7, heard),
+        seed(8, std::string("\0\x14k\1\0\0\0\0\0\0\0\1\0\0\0\xc2\x41\x24\x35"
+                            "abc",
+                            22)),
+        seed(10, orders::change(orders::change("", orders::order(3, "three")), orders::order(7, "seven"))),
+        seed(10, "00000007" + wings::squeeze("old")),
+        seed(9, duties::write({{"list", {"10.1.0.2:7720", 5, 3}}, {"rollouts", {"10.1.0.1:7720", 7, 1}}})),
         seed(5, wings::squeeze(std::string(3000, 'x') + "yz")),
         seed(6, "POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"),
         seed(6, "POST /p/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")};
--- a/tests/gateway/company.cpp
+++ b/tests/gateway/company.cpp
@@ -114,7 +114,7 @@
 void begin(Town& town, int count) {
     town.boards[0].configuration(7, std::string(3000, 'c'));
     town.boards[0].rollouts(0, "[]");
-    town.boards[0].list(pods(0, count), 1000);
+    town.boards[0].list(pods(0, count), 1);
     town.all(town.boards[0].digest());
     town.settle();
     CPPUNIT_ASSERT_EQUAL(town.boards.size() - 1, town.agreeing());
@@ -142,7 +142,7 @@
         town.boards[0].rollouts(3, "[3]");
         town.all(town.boards[0].order());
         auto listed = pods(2, 44, 6);
-        town.all(town.boards[0].list(listed, 2000));
+        town.all(town.boards[0].list(listed, 1));
         town.settle();
         CPPUNIT_ASSERT_EQUAL(std::size_t(8), town.agreeing());
         int rounds = 0;
@@ -167,12 +167,12 @@
                 const int first = step, last = 30 + 2 * step;
                 town.boards[0].configuration(7 + static_cast<std::uint32_t>(step), std::string(100, 'x'));
                 town.all(town.boards[0].cue());
-                town.all(town.boards[0].list(pods(first, last, first + 2), 1000 + 1500 * step));
+                town.all(town.boards[0].list(pods(first, last, first + 2), 1 + step / 6));
                 if (step % 2) town.settle();
                 town.round();
             }
             town.loss = 0;
-            town.boards[0].list(pods(8, 46, 10), 40'000);
+            town.boards[0].list(pods(8, 46, 10), 2);
             town.all(town.boards[0].digest());
             town.settle();
             for (int round = 0; round < 3; ++round) town.round();
@@ -185,7 +185,7 @@
         Town town(6, 3);
         begin(town, 10);
         town.cut[1] = true;
-        town.all(town.boards[0].list(pods(3, 12, 5), 9000));
+        town.all(town.boards[0].list(pods(3, 12, 5), 1));
         town.settle();
         Callboard young{Callboard::Reader{}};  // has just come up, and hears the old copy first
         std::vector<Json> asked;
@@ -234,7 +234,7 @@
             line("all start");
             town.round();
             line("a heartbeat without news");
-            town.all(town.boards[0].list(pods(0, count + 1, 1), 2000));
+            town.all(town.boards[0].list(pods(0, count + 1, 1), 1));
             town.settle();
             line("two pods change");
             town.boards[0].configuration(8, std::string(3000, 'd'));
@@ -242,7 +242,7 @@
             town.settle();
             line("a configuration of 3,000 bytes");
             for (std::size_t at = 1; at <= foyers; at += 10) town.cut[at] = true;
-            town.all(town.boards[0].list(pods(5, count + 5, 9), 3000));
+            town.all(town.boards[0].list(pods(5, count + 5, 9), 1));
             town.settle();
             town.forget();
             int rounds = 0;
--- a/tests/gateway/house.cpp
+++ b/tests/gateway/house.cpp
@@ -253,6 +253,8 @@
     CPPUNIT_TEST(machinesLost);
     CPPUNIT_TEST(allAtOnce);
     CPPUNIT_TEST(frozen);
+    CPPUNIT_TEST(dutyGoesOn);
+    CPPUNIT_TEST(outOfContact);
     CPPUNIT_TEST(words);
     CPPUNIT_TEST_SUITE_END();
 
@@ -397,6 +399,65 @@
         for (int at = 0; at < 20; ++at) CPPUNIT_ASSERT_EQUAL(404, get("/a/1"));
     }
 
+    // The holder of the duty for the list is killed, and comes back as another: terms rise, one has it at a
+    // time.
+    void dutyGoesOn() {
+        House house;
+        open(house);
+        const auto duty = [&](const std::string& name) {
+            return Json::parse(house.rpc(name, "status").second)
+                .at("duties")
+                .value("list", Json{{"mine", false}, {"term", 0}});
+        };
+        std::string holder;
+        house.until("one has the duty", [&] {
+            for (const auto* name : {"c1", "c2", "c3"})
+                if (duty(name).at("mine")) holder = name;
+            return !holder.empty();
+        });
+        const auto first = duty(holder).at("term").get<int>();
+        std::vector<std::string> others;
+        for (const auto* name : {"c1", "c2", "c3"})
+            if (name != holder) others.push_back(name);
+        house.stop(house.programs[holder], SIGKILL);
+        house.until("another has it", [&] {
+            const auto one = duty(others[0]), two = duty(others[1]);
+            return (one.at("mine") || two.at("mine")) && one.at("term") > first &&
+                   one.at("term") == two.at("term");
+        });
+        const auto second = duty(others[0]).at("term").get<int>();
+        CPPUNIT_ASSERT_EQUAL(first + 1, second);
+        house.pods.erase("i-2");  // its list is followed
+        house.until("it has told of a pod that went", [&] {
+            const auto& told = duty(others[0]).at("mine") ? others[0] : others[1];
+            const auto pods = Json::parse(house.rpc(told, "status").second).at("pods");
+            return pods.contains("s") && pods.at("s").at("v1").at(0) == 1;
+        });
+        house.launch(holder, false);
+        house.await(holder, "contact");
+        house.until("it knows of the term", [&] { return duty(holder).at("term") == second; });
+        CPPUNIT_ASSERT(!duty(holder).at("mine").get<bool>());
+    }
+
+    // Two of three core machines are gone: a foyer that starts takes what the third says only after a wait,
+    // and has no pods from it; when there is contact again all is sure.
+    void outOfContact() {
+        House house;
+        open(house);
+        for (const auto* name : {"c1", "c3", "e1", "e2"}) house.stop(house.programs[name], SIGKILL);
+        house.await("c2", "contact_lost");
+        house.launch("e2", false);
+        house.await("e2", "news_unsure");
+        const auto taken = house.await("e2", "news_taken_unsure");
+        CPPUNIT_ASSERT_EQUAL(
+            503, house.call(house.at("e2", house.probe), http::verb::get, "/api/readiness").first);
+        CPPUNIT_ASSERT_EQUAL(503, house.rpc("c2", "config.read").first);
+        house.launch("c1", false);
+        house.await("e2", "ready", house.await("e2", "news_sure", taken) - 1);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             house.call(house.at("e2", house.front), http::verb::get, "/r/1", "", "s").first);
+    }
+
     // The tools' words and exit status.
     void words() {
         House house;
