--- a/tests/gateway/orders.cpp
+++ b/tests/gateway/orders.cpp
@@ -2,12 +2,15 @@
 // twice, through any prompter, in every sequence of ballots, with answers lost and writes lost or done late.
 // Each invariant is shown to be able to fail, the first by what answered before there was a history.
 #include <functional>
+#include <iostream>
+#include <random>
 #include <set>
 #include <unordered_set>
 
 #include "orders/configuration.hpp"
 #include "orders/rollouts.hpp"
 #include "playbill/playbill.hpp"
+#include "register/register.hpp"
 #include "transcript.hpp"
 #include "wings/pack.hpp"
 
@@ -120,6 +123,94 @@
     return {seen.size(), ""};
 }
 
+// The same over the register's real copies and runs: two writers of one number, the first one's order again
+// through a third as soon as anything was answered, messages in any order or lost, and one machine of the
+// three lost between for good.
+struct Ballots {
+    struct Message {
+        std::size_t run = 0, copy = 0;
+        reg::Run::Step step = reg::Run::Step::look;
+        bool reply = false;
+        reg::Request request;
+        reg::Reply answer;
+    };
+    static constexpr std::size_t members = 3;
+
+    explicit Ballots(std::uint32_t seed, Bug bug_) : draw(seed), bug(bug_), orders(two) {
+        for (std::size_t at = 0; at < members; ++at) copies.emplace_back(false);
+        begin(0, 0), begin(1, 0);
+    }
+    void begin(std::size_t which, std::uint64_t above) {
+        const auto one = orders[which];
+        const auto number = static_cast<std::uint32_t>(runs.size() + 1);
+        runs.emplace_back(
+            "configuration", members, number, above,
+            [one](const std::string& held) { return change(held, one); }, above == 0);
+        sent.push_back(which);
+        send(runs.size() - 1);
+    }
+    void send(std::size_t run) {
+        for (std::size_t copy = 0; copy < members; ++copy)
+            messages.push_back({run, copy, runs[run].step(), false, runs[run].request(), {}});
+    }
+    void step() {
+        if (!lost && draw() % 40 == 0) lost = draw() % members;
+        const auto at = draw() % messages.size();
+        const auto message = messages[at];
+        messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(at));
+        if (lost == message.copy || draw() % 12 == 0) return;
+        if (!message.reply) {
+            std::optional<reg::Cell> update;
+            auto reply = copies[message.copy].weigh(message.request, update);
+            if (update) copies[message.copy].put(message.request.key, *update);
+            messages.push_back({message.run, message.copy, message.step, true, {}, std::move(reply)});
+            return;
+        }
+        auto& run = runs[message.run];
+        if (!run.on(static_cast<std::uint32_t>(message.copy), message.step, message.answer)) return;
+        if (run.step() == reg::Run::Step::done) return answered(message.run);
+        if (run.step() != reg::Run::Step::lost) return send(message.run);
+        if (runs.size() < 12) begin(sent[message.run], run.above());
+    }
+    void answered(std::size_t run) {
+        const auto& order = orders[sent[run]];
+        auto answer = recalled(runs[run].value(), order);
+        if (bug == Bug::numberAlone) answer = Recalled::known;
+        const bool known = answer == Recalled::known;
+        if (answer == Recalled::unknown) broken = "Unanswered";
+        (known ? acknowledged : refused).insert(sent[run]);
+        if (acknowledged.size() > 1) broken = "OneBody";
+        if (acknowledged.contains(sent[run]) && refused.contains(sent[run])) broken = "KnownAgain";
+        if (known && body(runs[run].value()) != bodies[sent[run]]) broken = "InForce";
+        if (!std::exchange(again, true)) begin(0, 0), begin(1, 0);
+    }
+    static std::string play(std::uint32_t from, std::uint32_t to, Bug bug, std::size_t& answers) {
+        for (auto seed = from; seed < to; ++seed) {
+            Ballots world(seed, bug);
+            for (int step = 0; step < 400 && !world.messages.empty(); ++step) {
+                world.step();
+                if (!world.broken.empty()) return "seed " + std::to_string(seed) + ": " + world.broken;
+            }
+            answers += world.acknowledged.size() + world.refused.size();
+        }
+        return "";
+    }
+
+    static inline const std::vector<std::string> bodies{"one body", "other body"};
+    static inline const std::vector<Order> two{order(7, bodies[0]), order(7, bodies[1])};
+    std::mt19937 draw;
+    Bug bug;
+    std::vector<Order> orders;
+    std::vector<reg::Copy> copies;
+    std::vector<reg::Run> runs;
+    std::vector<std::size_t> sent;  // by run, the order
+    std::vector<Message> messages;
+    std::optional<std::size_t> lost;
+    std::set<std::size_t> acknowledged, refused;
+    bool again = false;
+    std::string broken;
+};
+
 const std::vector<Sent> race{{7, 'A'}, {7, 'B'}, {9, 'C'}, {5, 'D'}, {5, 'E'}};
 
 std::string hex(const Digest& told) {
@@ -156,6 +247,7 @@
     CPPUNIT_TEST(unreadable);
     CPPUNIT_TEST(bounded);
     CPPUNIT_TEST(everySequence);
+    CPPUNIT_TEST(overTheRegister);
     CPPUNIT_TEST(rolloutsAgain);
     CPPUNIT_TEST(rolloutsAnew);
     CPPUNIT_TEST(rolloutsRace);
@@ -269,6 +361,16 @@
         approve("orders-explored", seen);
     }
 
+    void overTheRegister() {
+        std::size_t answers = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string(), Ballots::play(1, 20'001, Bug::none, answers));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(answers), answers > 20'000);  // most are answered at all
+        std::cout << " (" << answers << " orders answered in 20000 schedules)";
+        const auto found = Ballots::play(1, 20'001, Bug::numberAlone, answers);
+        CPPUNIT_ASSERT(found.starts_with("seed "));
+        std::cout << " (by the number alone: " << found << ")";
+    }
+
     // Known again while it runs, after each way to end, and after others; never a second one.
     void rolloutsAgain() {
         const auto order = asked("s", "v2", 12'000);
