--- a/src/command/status.cpp
+++ b/src/command/status.cpp
@@ -36,6 +36,23 @@
     return text + "  ";
 }
 
+// Whether it may confirm anything, as of which epoch, and what a loss would take that the settings allow.
+std::string registerLine(const Json& told) {
+    std::string line = told.at("contact").get<bool>() ? ", in contact" : ", OUT OF CONTACT";
+    if (told.contains("epoch")) line += ", epoch " + told.at("epoch").dump();
+    if (told.value("changing", false)) line += ", members changing";
+    for (const auto& one : told.value("not_borne", Json::array())) line += "\nNOT BORNE " + one.dump();
+    return line;
+}
+
+std::string dutyLines(const Json& duties) {
+    std::string lines;
+    for (const auto& [name, duty] : duties.items())
+        lines += "\nduty " + name + ": " + duty.at("holder").get<std::string>() + ", term " +
+                 duty.at("term").dump() + (duty.at("mine").get<bool>() ? ", held here" : "");
+    return lines;
+}
+
 }  // namespace
 
 std::string status(const std::string& address, bool json) {
@@ -54,7 +71,8 @@
     std::string all = "prompter " + told.at("node").get<std::string>() + ", configuration " +
                       told.at("configuration").get<std::string>() +
                       (told.at("blank").get<bool>() ? ", BLANK DISK" : "") + "\nmembers " +
-                      told.at("members").dump() + ", reached " + told.at("reached").dump() + "\n\n" +
+                      told.at("members").dump() + ", reached " + told.at("reached").dump() +
+                      registerLine(told.at("register")) + dutyLines(told.at("duties")) + "\n\n" +
                       padded("foyer", 28) + padded("configuration", 13) + "at\n";
     for (const auto& [name, foyer] : told.at("foyers").items())
         all += padded(name, 28) + padded(foyer.at("configuration").get<std::string>(), 13) +
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -249,6 +249,7 @@
             {"blank", keeper.blank()},
             {"members", keeper.members().size()},
             {"reached", keeper.reached()},
+            {"register", keeper.describe()},
             {"configuration", board.version() ? playbill::versionText(board.version()) : ""},
             {"duty", Json::array()},
             {"duties", duties.describe()},
--- a/tests/gateway/house.cpp
+++ b/tests/gateway/house.cpp
@@ -372,10 +372,27 @@
         CPPUNIT_ASSERT(WIFEXITED(foyer.status) && WEXITSTATUS(foyer.status) == 0);
         // A stopped prompter's disk can be read.
         house.stop(house.programs["c2"], SIGKILL);
-        Program tool;
-        house.spawn(tool, {"promptbook", "check", house.folder + "/c2/promptbook"}, "X=");
-        house.stop(tool, 0);
-        CPPUNIT_ASSERT_EQUAL(0, WEXITSTATUS(tool.status));
+        const auto says = [&](const std::vector<std::string>& words) {
+            Program tool;
+            house.spawn(tool, words, "X=");
+            house.stop(tool, 0);
+            while (tool.lines.empty()) CPPUNIT_ASSERT(house.io.run_one_for(std::chrono::seconds(8)) > 0);
+            while (house.io.poll() > 0) {  // the rest of what it wrote before it ended
+            }
+            CPPUNIT_ASSERT_EQUAL(0, WEXITSTATUS(tool.status));
+            std::string all;
+            for (const auto& line : tool.lines) all += line.value("text", line.dump()) + "\n";
+            return all;
+        };
+        const auto book = house.folder + "/c2/promptbook";
+        CPPUNIT_ASSERT(says({"promptbook", "check", book}).find("all checksums right") != std::string::npos);
+        CPPUNIT_ASSERT(says({"promptbook", "show", book}).find("version 00000003,") != std::string::npos);
+        CPPUNIT_ASSERT(says({"promptbook", "show", book}).find("remembered 00000003\n") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(Json::parse(House::configuration(3, "/a/")),
+                             Json::parse(says({"promptbook", "export", book})));
+        const auto shown = says({"status", house.at("c1", house.control)});
+        CPPUNIT_ASSERT_MESSAGE(shown, shown.find(", in contact") != shown.npos);
+        CPPUNIT_ASSERT_MESSAGE(shown, shown.find("\nduty list: ") != shown.npos);
     }
 
     // A foyer stands still while a route is dropped and another is added, and wakes up with its old view.
