--- a/src/rehearsal/scale.cpp
+++ b/src/rehearsal/scale.cpp
@@ -24,6 +24,7 @@
 #include "rehearsal/measure.hpp"
 #include "rehearsal/platform.hpp"
 #include "rehearsal/report.hpp"
+#include "rehearsal/sizes.hpp"
 
 namespace lichenlanding::rehearsal {
 namespace {
@@ -66,6 +67,7 @@
 
     bool run() {
         print({{"phase", "plan"}, {"settings", plan_.describe()}, {"port", port_}, {"load", load()}});
+        print({{"phase", "sizes"}, {"of", sizes(plan_)}});
         start(io_, "scale", guarded());
         start(io_, "limit", limit());
         start(io_, "memory", watchMemory());
--- /dev/null
+++ b/src/rehearsal/sizes.cpp
@@ -0,0 +1,80 @@
+#include "rehearsal/sizes.hpp"
+
+#include "company/company.hpp"
+#include "cues/cues.hpp"
+#include "playbill/playbill.hpp"
+#include "rehearsal/hollow.hpp"
+#include "wings/link.hpp"
+#include "wings/pack.hpp"
+
+namespace lichenlanding::rehearsal {
+namespace {
+
+using namespace wings;
+
+template <typename Work>
+double millis(Work work) {
+    const Nanos began = now();
+    work();
+    return static_cast<double>(now() - began) / 1e6;
+}
+
+// On the wire, made for one link, and read from one.
+Json weighed(const Json& message) {
+    std::shared_ptr<const std::string> packed;
+    Json told;
+    told["pack_ms"] = millis([&] { packed = Link::pack(message); });
+    told["bytes"] = packed->size();
+    told["open_ms"] = millis([&] { [[maybe_unused]] const auto read = Json::from_cbor(unsqueeze(*packed)); });
+    return told;
+}
+
+}  // namespace
+
+Json sizes(const Plan& plan) {
+    Json all;
+    const auto body = configuration(plan, 0);
+    std::string squeezed;
+    const auto squeezing = millis([&] { squeezed = squeeze(body); });
+    auto& told = all["configuration"] =
+        weighed({{"t", "configuration"}, {"version", 1}, {"squeezed", cues::writeText(squeezed)}});
+    told["squeeze_ms"] = squeezing, told["body_bytes"] = body.size();
+    told["read_ms"] = millis([&] { [[maybe_unused]] const auto read = playbill::Playbill::read(body); });
+
+    Json list = Json::array();
+    for (std::int64_t n = 0; n < plan.pods; ++n) list.push_back(cues::write(pod(plan, n)));
+    all["list"] =
+        weighed({{"t", "pods"}, {"change", 1}, {"stamp", 1}, {"set", list}, {"gone", Json::array()}});
+    if (plan.pods > 0)
+        all["pod_change"] = weighed({{"t", "pods"},
+                                     {"change", 1},
+                                     {"stamp", 1},
+                                     {"set", {list.front()}},
+                                     {"gone", {pod(plan, 1).id}}});
+
+    Json roster = Json::object();
+    for (std::int64_t n = 0; n < plan.foyers; ++n)
+        roster[hollowName(n)] = hollowAddress(n) + ":" + std::to_string(20000);
+    all["roster"] = weighed({{"t", "roster"}, {"foyers", roster}});
+
+    // One foyer's running totals of one service: some hundreds of outcomes on each of its routes.
+    verdict::Totals totals;
+    for (std::int64_t route = 0; route < std::max<std::int64_t>(plan.routes / plan.services, 1); ++route)
+        for (int side = 0; side < 2; ++side) {
+            auto& counts =
+                totals["r-" + std::to_string(company::hash("route", std::to_string(route)) % 100'000'000)]
+                      [static_cast<std::size_t>(side)];
+            for (std::size_t bin = 0; bin < counts.bins.size(); ++bin)
+                counts.bins[bin] = static_cast<std::uint32_t>(
+                    company::hash(std::to_string(bin), std::to_string(route * 2 + side)) % 60);
+        }
+    all["counts"] = weighed({{"t", "counts"},
+                             {"from", hollowName(0)},
+                             {"life", 1},
+                             {"number", 1},
+                             {"rollout", "s1\nv2"},
+                             {"totals", cues::write(totals)}});
+    return all;
+}
+
+}  // namespace lichenlanding::rehearsal
--- /dev/null
+++ b/src/rehearsal/sizes.hpp
@@ -0,0 +1,12 @@
+// What the messages of a plan's size weigh, and what one costs to make and to read, by the rooms that do so.
+#pragma once
+
+#include "rehearsal/plan.hpp"
+
+namespace lichenlanding::rehearsal {
+
+// {"configuration": {"bytes", "squeezed", "read_ms", "squeeze_ms", "pack_ms", "open_ms"}, "list": {...},
+// "pod_change", "roster", "counts"}: bytes on the wire, milliseconds of one thread here and now.
+nlohmann::json sizes(const Plan& plan);
+
+}  // namespace lichenlanding::rehearsal
