Hollow foyers go by the prompters' word as foyers do: confidence, editions

The scale run's hollow foyers follow what the foyer does since duties have terms: they take unsure news only after the wait, and tell whether what they hold is sure.

--- a/src/rehearsal/hollow.cpp
+++ b/src/rehearsal/hollow.cpp
@@ -10,6 +10,7 @@
 #include <random>
 
 #include "callboard/callboard.hpp"
+#include "callboard/confidence.hpp"
 #include "company/company.hpp"
 #include "wings/link.hpp"
 #include "wings/log.hpp"
@@ -138,9 +139,7 @@
             rosters_[link.peer] = room_.roster(message.at("foyers"));
             enrol();
         } else if (kind != "hello") {
-            using From = callboard::Callboard::From;
-            board_.heard(message, link.kind == "prompter" ? From::prompter : From::neighbour, now(),
-                         [&](Json reply) { send(link, reply); });
+            news(link, message, kind);
         }
         if (std::exchange(configurationNew_, false)) took();
         if (!ready_ && board_.listed() && board_.version() > 0 && rolloutsKnown_) {
@@ -149,7 +148,25 @@
         }
     }
 
+    void news(Link& link, const Json& message, const std::string& kind) {
+        using From = callboard::Callboard::From;
+        const bool prompter = link.kind == "prompter", sure = message.value("sure", true);
+        if (kind != "want") {
+            if (prompter) confidence_.heard(link.peer, sure, now());
+            if (!confidence_.takes(sure, board_.version() > 0, now())) return;
+        }
+        board_.heard(message, prompter ? From::prompter : From::neighbour, now(), [&](Json reply) {
+            if (reply.at("t") != "want") reply["sure"] = confidence_.sure();
+            send(link, reply);
+        });
+        if (sure && board_.version() > 0 &&
+            (kind == "configuration" ||
+             (kind == "digest" && message.at("configuration") <= board_.version())))
+            confidence_.holds(true);
+    }
+
     void closed(Link& link) {
+        if (link.kind == "prompter") confidence_.parted(link.peer, now());
         if (link.kind == "prompter") fact("link", {{"name", name_}, {"to", link.peer}, {"open", false}});
         if (rosters_.erase(link.peer) > 0) enrol();
         if (link.kind != "foyer") return;
@@ -200,7 +217,9 @@
     static Task<> watch(std::shared_ptr<HollowFoyer> self) {
         while (!self->left_) {
             co_await sleep(self->room_.told.at("heartbeat_ms").get<Nanos>() * ms);
-            const auto digest = self->board_.digest();
+            auto digest = self->board_.digest();
+            digest["sure"] = self->confidence_.sure();
+            if (self->confidence_.waited(self->board_.version() > 0, now())) self->tell(digest);
             for (const auto& [_, address] : self->watching_)
                 if (const auto peer = self->peers_.find(address); peer != self->peers_.end())
                     if (const auto link = peer->second->link()) self->send(*link, digest);
@@ -215,7 +234,8 @@
     std::map<std::string, std::shared_ptr<Dialer>> dialers_, peers_;
     std::map<std::string, std::shared_ptr<const Roster>> rosters_;  // by prompter
     std::map<std::uint64_t, std::shared_ptr<const Roster>> known_;  // by sum
-    std::map<std::string, std::string> watching_;                   // foyers and addresses
+    callboard::Confidence confidence_;
+    std::map<std::string, std::string> watching_;  // foyers and addresses
     std::vector<std::weak_ptr<Link>> links_;
     bool ready_ = false, rolloutsKnown_ = false, left_ = false, configurationNew_ = false;
     callboard::Callboard board_{{[this](const std::string&) { configurationNew_ = true; },
--- a/src/rehearsal/sizes.cpp
+++ b/src/rehearsal/sizes.cpp
@@ -4,7 +4,7 @@
 #include "cues/cues.hpp"
 #include "playbill/playbill.hpp"
 #include "rehearsal/hollow.hpp"
-#include "wings/link.hpp"
+#include "wings/loop.hpp"
 #include "wings/pack.hpp"
 
 namespace lichenlanding::rehearsal {
@@ -21,11 +21,15 @@
 
 // On the wire, made for one link, and read from one.
 Json weighed(const Json& message) {
-    std::shared_ptr<const std::string> packed;
+    std::string packed;
     Json told;
-    told["pack_ms"] = millis([&] { packed = Link::pack(message); });
-    told["bytes"] = packed->size();
-    told["open_ms"] = millis([&] { [[maybe_unused]] const auto read = Json::from_cbor(unsqueeze(*packed)); });
+    told["pack_ms"] = millis([&] {
+        std::string bytes;
+        Json::to_cbor(message, bytes);
+        packed = squeeze(bytes);
+    });
+    told["bytes"] = packed.size();
+    told["open_ms"] = millis([&] { [[maybe_unused]] const auto read = Json::from_cbor(unsqueeze(packed)); });
     return told;
 }
 
