--- a/src/rehearsal/sizes.cpp
+++ b/src/rehearsal/sizes.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using namespace wings;
+using Json = nlohmann::json;
 
 template <typename Work>
 double millis(Work work) {
