Rollouts: a version in force is not tried anew after another was turned back

Ordered anew, the version last completed began a second trial if another version had been tried and turned back since: its pods are the only ones that serve, and a trial sends them a share. Now it is acknowledged as what the service has come to.

--- a/src/orders/rollouts.cpp
+++ b/src/orders/rollouts.cpp
@@ -57,8 +57,12 @@
             return one.service == order.service && one.target == order.target && one.running();
         }))
         return Ordered::underWay;
-    const auto* last = newest(rollouts, order.service);
-    if (last && last->target == order.target && last->state == "completed") return Ordered::inForce;
+    const cues::Rollout* reached = nullptr;
+    for (const auto& one : rollouts)
+        if (one.service == order.service && one.state == "completed" &&
+            (!reached || one.number > reached->number))
+            reached = &one;
+    if (reached && reached->target == order.target) return Ordered::inForce;
     return Ordered::begun;
 }
 
--- a/tests/gateway/orders.cpp
+++ b/tests/gateway/orders.cpp
@@ -406,6 +406,10 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, all.size());
         CPPUNIT_ASSERT(all[1].running() && all[1].number > all[0].number && !all[0].running());
         CPPUNIT_ASSERT(begin(anew, first) == anew && begin(anew, again) == anew);
+        // Another version tried since and turned back changes nothing of that: v2's pods are all there are.
+        const auto tried = ended(begin(done, asked("s", "v3", 12'000)), "v3", "rolled_back");
+        CPPUNIT_ASSERT(ordered(cues::readRollouts(tried), again) == Ordered::inForce);
+        CPPUNIT_ASSERT(begin(tried, again) == tried);
         // From v3 back to v2: the service has moved on, so this is work to do.
         auto moved = ended(begin(done, asked("s", "v3", 12'000)), "v3", "completed");
         CPPUNIT_ASSERT(ordered(cues::readRollouts(moved), again) == Ordered::begun);
