Foyer: while leaving it reads on until idle connections are closed

The next request is the last only from the closing of idle connections on, so that a client that always sends ahead still finds an end.

--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -162,6 +162,7 @@
 void Front::drain() { draining_ = true; }
 
 void Front::closeIdle() {
+    ending_ = true;
     std::vector<std::shared_ptr<Session>> idle;
     for (const auto& [_, session] : sessions_)
         if (session->resting() && !session->waiting()) idle.push_back(session);
@@ -349,7 +350,7 @@
         auto exchange = std::make_shared<Exchange>();
         exchange->request = Request(http::request_header<>(parser->get().base()));
         exchange->request.body() = std::move(body);
-        exchange->last = !exchange->request.keep_alive() || draining_;
+        exchange->last = !exchange->request.keep_alive() || (draining_ && ending_);
         if (!parser->is_done()) exchange->upload = parser, exchange->last = true;
         exchange->skipBody = exchange->request.method() == http::verb::head;
         session->queue.push_back(exchange);
--- a/src/foyer/front.hpp
+++ b/src/foyer/front.hpp
@@ -13,9 +13,10 @@
     ~Front();
 
     wings::Task<> serve(wings::tcp::acceptor& acceptor);
-    // What is read is answered; each connection ends with the last answer to that, or the next request's.
+    // What is read is answered; a connection ends with the answer behind which none waits.
     void drain();
-    // Ends connections on which nothing is asked.
+    // Ends connections on which nothing is asked. While draining, the next request on any other is its last:
+    // a client that always sends ahead would be read from until the end.
     void closeIdle();
     std::size_t open() const { return sessions_.size(); }
     // Ends what takes longer than it may: called every so often.
@@ -46,7 +47,7 @@
     std::function<bool()> awake_;
     std::map<std::uint64_t, std::shared_ptr<Session>> sessions_;  // by the order of arrival
     std::uint64_t arrivals_ = 0;
-    bool draining_ = false;
+    bool draining_ = false, ending_ = false;
 };
 
 }  // namespace lichenlanding::foyer
