--- a/tests/gateway/scripted_pods.cpp
+++ b/tests/gateway/scripted_pods.cpp
@@ -19,7 +19,7 @@
     const auto route = [](const char* prefix, const char* kind, const char* target) {
         return std::string(R"({"resource_type":"route_table","metadata":{"name":")") + prefix +
                R"("},"spec":{"hostname":"h","path_prefix":")" + prefix + R"(","route_class":")" + kind +
-               R"(","timeout":"8s","target_latency":")" + target +
+               R"(","timeout":"20s","target_latency":")" + target +
                R"(","priority":1,"service_name":"s","max_attempts":2}},)";
     };
     return R"({"config_version":"00000001","resources":[)" + route("/read/", "idempotent", "7s") +
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -394,7 +394,9 @@
         for (std::size_t cut = upload.size() - big.size(); cut < upload.size(); cut += 99'000) {
             House house(each({ok()}));
             const auto client = house.client(upload.substr(0, cut), {"once"});
-            house.until([&] { return house.front->open() == 1 && client->got.empty(); });
+            // What is too large to hold is at a pod already, in part.
+            house.until(
+                [&] { return house.front->open() == 1 && (cut < 300'000 || !house.connections.empty()); });
             House::leave(client, true);
             house.until([&] { return house.front->open() == 0; });
             house.quiet();
@@ -494,16 +496,16 @@
                   "600012\r\n\r\nbody of {id}" +
                       std::string(300'000, 'b'),
                   Reply::silent}));
-        const auto client = house.client(post("once", 8000), {"once"}),
-                   gone = house.client(post("gone", 8000), {"gone"});
+        const auto client = house.client(post("once", 20000), {"once"}),
+                   gone = house.client(post("gone", 20000), {"gone"});
         const auto began = now();
         house.until([&] { return client->got.size() > 200'000 && gone->got.size() > 200'000; });
         House::leave(gone, false);
-        house.front->sweep(began + 7900 * ms);
+        house.front->sweep(began + 19'900 * ms);
         while (house.foyerLoop.poll() + house.worldLoop.poll() > 0) {
         }
         CPPUNIT_ASSERT(!client->ended);
-        house.front->sweep(now() + 8100 * ms);
+        house.front->sweep(now() + 20'100 * ms);
         house.until([&] { return client->ended && house.front->open() == 0; });
         house.until([&] { return house.open["A"] + house.open["B"] == 0; });
         CPPUNIT_ASSERT(!client->answers().at(0).whole);
