--- a/bench/days/generate.cpp
+++ b/bench/days/generate.cpp
@@ -87,6 +87,7 @@
         : site_(deployment), chance_(seed), daySeed_(int(chance_.next() >> 34)) {
         length_ = chance_.in(0.5) ? site_.lengthLeast : chance_.between(site_.lengthLeast, site_.lengthMost);
         length_ = std::floor(length_);
+        family_ = chance_.in(0.6) ? 0 : chance_.whole(1, 4);
         orders();
         beats();
         if (chance_.in(0.4)) season();
@@ -184,6 +185,22 @@
         return how;
     }
 
+    /// Which blow: of all kinds, or on some days of one family again and again.
+    int drawn() {
+        switch (family_) {
+            case 1:
+                return chance_.whole(5, 7);  // losses with and without the disk
+            case 2:
+                return 11;  // cuts
+            case 3:
+                return chance_.in(0.5) ? chance_.whole(8, 10) : 2;  // disks, freezes, losses of power
+            case 4:
+                return chance_.in(0.5) ? 4 : chance_.whole(0, 7);  // all at once, and what comes close
+            default:
+                return chance_.whole(0, 13);
+        }
+    }
+
     /// One blow to the core; for how long it lasts.
     double beat(double at) {
         double forS = chance_.between(0.3, 5.0);
@@ -214,7 +231,7 @@
                     return forS * 2;
             }
         }
-        switch (chance_.whole(0, 13)) {
+        switch (drawn()) {
             case 0:
             case 1:
                 faults_.push_back({.at = at,
@@ -364,6 +381,7 @@
     Chance chance_;
     int daySeed_;
     double length_ = 0;
+    int family_ = 0;  ///< of blows; 0: all kinds
     std::vector<Entry> plan_, faults_;
     std::string closing_;
 };
