Casting: a version ordered anew is tried anew, and trials of orders let go are forgotten

A rollout of one version may be ordered again after it was turned back. Foyers kept the first trial's counts, so the voters would have turned the second back at once whatever its pods do now; and trials were kept for good, though ended orders are bounded.

The last order of a version is the one that counts; one that runs after another was over begins with nothing counted and its own share. Shown red: without the change the new test finds the first trial's totals.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -82,6 +82,7 @@
     double sent = 0, all = 0;        // to it, and to its service, since the order is known here
     int stage = 0;
     Nanos staged = 0;  // since when
+    bool over = false;
     std::uint32_t fresh = 0, bad = 0;
     verdict::Totals totals;
 };
@@ -127,10 +128,16 @@
 void Casting::rollouts(std::vector<cues::Rollout> rollouts, Nanos now) {
     const bool here = std::exchange(rolloutsKnown_, true);  // else an order may have been granted before
     rollouts_ = std::move(rollouts);
+    std::map<std::string, const cues::Rollout*> last;  // a version may be ordered anew
+    for (const auto& rollout : rollouts_) last[rollout.service + "\n" + rollout.target] = &rollout;
+    std::erase_if(trials_, [&](const auto& trial) { return !last.contains(trial.first); });
     for (const auto& rollout : rollouts_) {
         settled_[rollout.service].erase(rollout.target);
-        auto& trial = trials_[rollout.service + "\n" + rollout.target];
-        if (!trial) {
+        const auto key = rollout.service + "\n" + rollout.target;
+        if (last.at(key) != &rollout) continue;
+        auto& trial = trials_[key];
+        // Ordered anew after it was turned back: what was counted then is no word on what runs now.
+        if (!trial || (trial->over && rollout.running())) {
             // The rule lets a few more than the share go there over the whole fleet. Where few requests come
             // the share alone brings too few outcomes within a term; chance spreads a grant of less than one.
             trial = std::make_shared<Trial>();
@@ -139,6 +146,7 @@
             if (here && rollout.running()) trial->granted = std::floor(std::min(grant, grantAtMost));
             trial->unused = trial->granted;
         }
+        trial->over = !rollout.running();
         if (rollout.stage != trial->stage) trial->stage = rollout.stage, trial->staged = now;
     }
     for (auto& [service, versions] : settled_) {
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(exposure);
     CPPUNIT_TEST(fewRequests);
     CPPUNIT_TEST(twoOrders);
+    CPPUNIT_TEST(orderedAnew);
     CPPUNIT_TEST(versions);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(neverBack);
@@ -217,6 +218,41 @@
         CPPUNIT_ASSERT(where["v3"] <= 50);
     }
 
+    // Turned back, and ordered again with another term: its pods take their share again, and what was counted
+    // in the first trial is no word on the second. Said again, the list changes nothing.
+    void orderedAnew() {
+        Room room;
+        room.list("n", "v2"), room.list("m", "v2");
+        cues::Rollout first, anew;
+        first.service = anew.service = "s", first.target = anew.target = "v2";
+        first.term = 12'000, anew.term = 15'000, first.number = 1, anew.number = 3;
+        const auto serve = [&] {
+            int fresh = 0;
+            for (int at = 0; at < 600; ++at) {
+                room.now += 10 * ms;
+                auto request = room.begin(reading);
+                CPPUNIT_ASSERT(room.send(request) != "-");
+                const bool its = room.last->actor()->listed.version == "v2";
+                fresh += its;
+                room.end(request, Event::answered, its ? 500 : 200);
+            }
+            return fresh;
+        };
+        room.room->rollouts({first}, room.now);
+        room.now += 3 * second;
+        CPPUNIT_ASSERT(serve() > 0);
+        CPPUNIT_ASSERT(!room.room->totals("s", "v2").empty());
+        first.state = "rolled_back", first.number = 2;
+        room.room->rollouts({first}, room.now);
+        CPPUNIT_ASSERT_EQUAL(0, serve());
+        room.room->rollouts({first, anew}, room.now);
+        CPPUNIT_ASSERT(room.room->totals("s", "v2").empty());
+        CPPUNIT_ASSERT(serve() > 0);
+        CPPUNIT_ASSERT(!room.room->totals("s", "v2").empty());
+        room.room->rollouts({first, anew}, room.now);
+        CPPUNIT_ASSERT(!room.room->totals("s", "v2").empty());
+    }
+
     // ROUTE: which versions take requests, by the state of the order.
     void versions() {
         std::string seen;
