Casting: a pod that was not reached does not count among max_attempts

Pods that are dark let no connection come up; two of them used a request's attempts up, and it was refused though no pod had been asked. Such a pod was not sent the request: up to two more are tried.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -34,7 +34,8 @@
 constexpr double hedgeTypical = 2.3,
                  hedgeTarget = 0.6;   // a second send after so many usual times, or so much of the target
 constexpr Nanos leastLeft = 15 * ms;  // with less time a send is pointless
-constexpr int ownBad = 4;             // bad answers of a version on trial seen here that stop it here
+constexpr std::int64_t unreachedMore = 2;  // attempts beyond max_attempts, where pods are not reached
+constexpr int ownBad = 4;                  // bad answers of a version on trial seen here that stop it here
 constexpr double ownBadPart = 0.3;
 constexpr Nanos comeBack = 150 * ms;
 constexpr double linesPart = 0.8;  // of a pod's connections, that foyers share
@@ -244,8 +245,10 @@
 }
 
 bool Casting::mayGoOn(const Try& request, Nanos now) const {
+    // A pod that was not reached was not sent it; but a request is not held for long over such pods.
     return maySend(request.attempts, request.route->repeatable) &&
-           static_cast<std::int64_t>(request.attempts.size()) < request.route->maxAttempts &&
+           static_cast<std::int64_t>(arrivals(request.attempts)) < request.route->maxAttempts &&
+           static_cast<std::int64_t>(request.attempts.size()) < request.route->maxAttempts + unreachedMore &&
            request.deadline - now > leastLeft;
 }
 
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -73,6 +73,7 @@
 class CastingTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(CastingTest);
     CPPUNIT_TEST(sendsAgain);
+    CPPUNIT_TEST(unreached);
     CPPUNIT_TEST(budget);
     CPPUNIT_TEST(exposure);
     CPPUNIT_TEST(fewRequests);
@@ -114,6 +115,27 @@
         approve("casting-sends-again", seen);
     }
 
+    // max_attempts counts the pods that it was sent to: those not reached were not, up to two more.
+    void unreached() {
+        for (const auto* kind : {reading, writing}) {
+            Room room(8);
+            auto request = room.begin(kind);  // to three pods at most
+            std::string ends;
+            for (const auto end : {Event::turned, Event::unreached, Event::unreached, Event::turned,
+                                   Event::turned, Event::turned}) {
+                if (room.send(request) == "-") break;
+                room.end(request, end);
+                ends += casting::name(end) + std::string(" ");
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("turned unreached unreached turned turned "), ends);
+            auto nobody = room.begin(kind);
+            int attempts = 0;
+            for (; room.send(nobody) != "-"; ++attempts) room.end(nobody, Event::unreached);
+            CPPUNIT_ASSERT_EQUAL(5, attempts);
+            CPPUNIT_ASSERT_EQUAL(503, room.room->refusal(nobody).status);
+        }
+    }
+
     // BUDGET: arrivals past the first of a request stay within the share of the fleet's, window by window.
     void budget() {
         Room room(8, 24);
