--- a/src/playbill/boot.hpp
+++ b/src/playbill/boot.hpp
@@ -13,6 +13,7 @@
     X(name, std::string, "/node_name", true)                          \
     X(ip, std::string, "/ip_address", true)                           \
     X(zone, std::string, "/zone", true)                               \
+    X(region, std::string, "/region", false)                          \
     X(front, std::string, "/listen_addresses/front_http", false)      \
     X(readiness, std::string, "/listen_addresses/readiness", false)   \
     X(control, std::string, "/listen_addresses/control_plane", false) \
@@ -24,19 +25,26 @@
     X(dataDir, std::string, "/data_dir", false)                       \
     X(diskMegabytes, int, "/limits/disk_mb", false)                   \
     X(machinesLost, int, "/fault_tolerance/machines", false)          \
+    X(zonesLost, int, "/fault_tolerance/zones", false)                \
+    X(regionsLost, int, "/fault_tolerance/regions", false)            \
     X(list, std::string, "/cloud_api/address", true)                  \
     X(listPerSecond, double, "/cloud_api/rate_per_s", false)
 
-// Member, name in `bounds`, kind, value where it is not told.
-#define BOOT_BOUNDS(X)                                              \
-    X(drain, "drain", duration, 2500 * 1'000'000ll)                 \
-    X(grace, "grace", duration, 6000 * 1'000'000ll)                 \
-    X(contact, "contact", duration, 3000 * 1'000'000ll)             \
-    X(budgetWindow, "retry_window", duration, 10'000 * 1'000'000ll) \
-    X(rollback, "rollback", duration, 5000 * 1'000'000ll)           \
-    X(budgetRatio, "retry_budget_ratio", number, 0.2)               \
-    X(budgetSlack, "retry_slack", number, 20.0)                     \
-    X(exposureShare, "exposure_share", number, 0.1)                 \
+// Member, name in `bounds`, kind, value where it is not told. control_contact: for how long the answer of a
+// member counts; control_replace: after how long without a word a member's seat goes to one that stands by
+// (0: six tenths of sync_time).
+#define BOOT_BOUNDS(X)                                                 \
+    X(drain, "drain", duration, 2500 * 1'000'000ll)                    \
+    X(grace, "grace", duration, 6000 * 1'000'000ll)                    \
+    X(contact, "contact", duration, 3000 * 1'000'000ll)                \
+    X(budgetWindow, "retry_window", duration, 10'000 * 1'000'000ll)    \
+    X(rollback, "rollback", duration, 5000 * 1'000'000ll)              \
+    X(syncTime, "sync_time", duration, 4000 * 1'000'000ll)             \
+    X(controlContact, "control_contact", duration, 1000 * 1'000'000ll) \
+    X(controlReplace, "control_replace", duration, 0)                  \
+    X(budgetRatio, "retry_budget_ratio", number, 0.2)                  \
+    X(budgetSlack, "retry_slack", number, 20.0)                        \
+    X(exposureShare, "exposure_share", number, 0.1)                    \
     X(exposureSlack, "exposure_slack", number, 50.0)
 
 namespace lichenlanding::playbill {
--- a/src/promptbook/promptbook.cpp
+++ b/src/promptbook/promptbook.cpp
@@ -115,6 +115,13 @@
         check(mdb_put(txn, dbi, &at, &what, 0), "put", folder);
     }
 
+    void drop(MDB_txn* txn, char mark, const std::string& name) const {
+        auto key = mark + name;
+        MDB_val at{key.size(), key.data()};
+        if (const int code = mdb_del(txn, dbi, &at, nullptr); code != MDB_NOTFOUND)
+            check(code, "drop", folder);
+    }
+
     template <typename Take>
     void each(char mark, Take take) const {
         Deed deed(*this, MDB_RDONLY);
@@ -153,7 +160,9 @@
 void Promptbook::write(const std::map<std::string, reg::Cell>& cells,
                        const std::map<std::string, std::string>& notes) {
     Parts::Deed deed(*parts_, 0);
-    for (const auto& [key, cell] : cells) parts_->put(deed.txn, cellMark, key, bytesOf(cell));
+    for (const auto& [key, cell] : cells)
+        if (cell == reg::Cell{}) parts_->drop(deed.txn, cellMark, key);
+        else parts_->put(deed.txn, cellMark, key, bytesOf(cell));
     for (const auto& [key, text] : notes) parts_->put(deed.txn, noteMark, key, text);
     check(deed.commit(), "commit", parts_->folder);
     // LMDB writes its last page through a descriptor that is opened for synchronous writing. Where that means
--- a/src/promptbook/promptbook.hpp
+++ b/src/promptbook/promptbook.hpp
@@ -1,7 +1,7 @@
 // The prompter's disk: cells of the register by key, in LMDB. A call returns when what it wrote is synced.
 //
 // Each record carries its format's number and a checksum (CRC-32), since LMDB keeps none. A book that cannot
-// be read is told as damaged; its owner then starts blank and rejoins, it never guesses.
+// be read is told as damaged; its owner then starts as on a new disk, it never guesses.
 #pragma once
 
 #include <map>
@@ -24,7 +24,7 @@
     virtual ~Book() = default;
     virtual std::map<std::string, reg::Cell> cells() const = 0;  // throws DiskError where a record is damaged
     virtual std::string note(const std::string& name) const = 0;  // "" if there is none
-    // All of it is synced on return; on a throw nothing of it counts.
+    // All of it is synced on return; on a throw nothing of it counts. A cell as it is when new is taken off.
     virtual void write(const std::map<std::string, reg::Cell>& cells,
                        const std::map<std::string, std::string>& notes) = 0;
 };
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -1,5 +1,6 @@
 #include "prompter/keeper.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <filesystem>
 
@@ -14,43 +15,56 @@
 
 constexpr Nanos runWithin = 450 * ms;    // one run at a key; then anew
 constexpr Nanos unlearntFor = 200 * ms;  // an accepted value whose writer has not told its end
-constexpr Nanos tendEvery = 100 * ms;
-constexpr std::size_t errandsAtMost = 64;  // that wait for the disk
-constexpr double bookPart = 0.6;           // of the disk that the book may take
-const std::string membersNote = "members";
+constexpr Nanos maintainEvery = 50 * ms;
+constexpr Nanos pingEvery = 300 * ms;
+constexpr Nanos foundPatience = 2000 * ms;  // for as many machines as bear all, before fewer found it
+constexpr Nanos deferFor = 400 * ms;        // to the one whose turn it is to change the members
+constexpr Nanos standsByFor = 1000 * ms;    // without a word, one that stands by is not counted on
+constexpr Nanos changeWithin = 1500 * ms;   // a change of the members, on the way
+constexpr Nanos askAgain = 150 * ms;
+constexpr std::size_t jobsAtMost = 64;  // that wait for the disk
+constexpr double bookPart = 0.6;        // of the disk that the book may take
+const std::string diskNote = "disk", standingNote = "standing", writesNote = "writes",
+                  witnessNote = "witness";
+const std::string oldMembersNote = "members";  // of a book from before there were epochs
 const reg::Change asItIs = [](const std::string& value) { return value; };
 
-Json write(const reg::Request& request) {
-    return {static_cast<int>(request.kind), request.key, cues::write(request.ballot),
-            cues::writeText(request.value), cues::write(request.held)};
-}
-
-reg::Request readRequest(const Json& from) {
-    return {static_cast<reg::Request::Kind>(from.at(0).get<int>()), from.at(1).get<std::string>(),
-            cues::readBallot(from.at(2)), cues::readText(from.at(3)), cues::readBallot(from.at(4))};
-}
+Json aboutStep(reg::Run::Step step) { return Json::array({static_cast<int>(step)}); }
 
-Json ask(std::uint64_t id, const reg::Run& run) {
-    return {
-        {"t", "reg"}, {"id", id}, {"step", static_cast<int>(run.step())}, {"request", write(run.request())}};
+std::string newDisk() {
+    std::random_device chance;
+    char text[17];
+    std::snprintf(text, sizeof text, "%08x%08x", chance(), chance());
+    return text;
 }
 
 }  // namespace
 
+// A run at a key, or a change of the members.
 struct Keeper::Pending {
-    Pending(reg::Run run_, asio::io_context& io) : run(std::move(run_)), bell(io) {}
-    reg::Run run;
+    Pending(reg::Run run_, reg::Epoch epoch_, asio::io_context& io)
+        : run(std::move(run_)), epoch(std::move(epoch_)), bell(io) {}
+    Pending(reg::Succession succession_, asio::io_context& io)
+        : succession(std::move(succession_)), bell(io) {}
+    const reg::Epoch& asked() const { return succession ? succession->asked() : epoch; }
+    std::optional<reg::Run> run;
+    std::optional<reg::Succession> succession;
+    reg::Epoch epoch;
     Bell bell;
 };
 
-Keeper::Keeper(asio::io_context& io, const playbill::Boot& boot,
-               std::function<void(const std::string&)> learnt, Opener opener)
+Keeper::Keeper(asio::io_context& io, const playbill::Boot& boot, Owner owner, Opener opener)
     : io_(io),
       boot_(boot),
-      learnt_(std::move(learnt)),
-      size_(static_cast<std::size_t>(2 * std::max(boot.machinesLost, 0) + 1)),
+      owner_(std::move(owner)),
       me_(boot.internal(boot.ip)),
-      opener_(std::move(opener)) {}
+      opener_(std::move(opener)),
+      contactSince_(now()),
+      began_(now()) {
+    for (const auto& seed : boot.seeds) seeds_.push_back(boot.internal(hostOf(seed)));
+    std::sort(seeds_.begin(), seeds_.end());
+    seeds_.erase(std::unique(seeds_.begin(), seeds_.end()), seeds_.end());
+}
 
 Keeper::Opener Keeper::onDisk(const playbill::Boot& boot) {
     const auto folder = boot.dataDir + "/promptbook";
@@ -68,92 +82,375 @@
     return static_cast<std::uint32_t>(company::hash("member", address));
 }
 
+reg::Member Keeper::self() const { return {me_, copy_.disk(), boot_.zone, boot_.region}; }
+
+std::set<std::string> Keeper::members() const {
+    std::set<std::string> all;
+    for (const auto& member : epoch_.members) all.insert(member.address);
+    return all;
+}
+
+reg::Cell Keeper::held(const std::string& key) const {
+    const auto& known = this->known(key);
+    return {known.ballot, known.ballot, known.value};
+}
+
+// ---- The disk, and which one it is. ----
+
 void Keeper::open() {
-    std::map<std::string, reg::Cell> cells;
-    std::string members;
+    reg::Cells cells;
+    std::map<std::string, std::string> notes;
     try {
         book_ = opener_(false);
-        cells = book_->cells(), members = book_->note(membersNote);
+        cells = book_->cells();
+        for (const auto& name : {diskNote, standingNote, writesNote, witnessNote, oldMembersNote})
+            notes[name] = book_->note(name);
     } catch (const promptbook::DiskError& damaged) {
-        // Nothing is guessed from a damaged book: it is put aside, and this copy counts as lost.
+        // Nothing is guessed from a damaged book: it is put aside, and this is a new disk.
         log("book_damaged", {{"step", "open"}, {"error", damaged.what()}});
         book_.reset();
         book_ = opener_(true);
+        notes.clear(), cells.clear();
     }
-    copy_ = reg::Copy(members.empty());
-    for (auto& [key, cell] : cells) copy_.put(key, std::move(cell));
-    std::size_t from = 0;
-    while (from < members.size()) {
-        const auto to = std::min(members.find(',', from), members.size());
-        members_.insert(members.substr(from, to - from));
-        from = to + 1;
+    reg::Update update;
+    update.cells = std::move(cells);
+    std::string disk = notes[diskNote];
+    bool founding = false;
+    if (!disk.empty()) {
+        if (!notes[standingNote].empty())
+            update.standing = membership::readStanding(Json::parse(notes[standingNote]));
+        if (!notes[writesNote].empty()) writes_ = std::stoull(notes[writesNote]);
+        if (!notes[witnessNote].empty())
+            witnessed_ = Json::parse(notes[witnessNote]).get<std::map<std::string, std::uint64_t>>();
+    } else if (const auto& old = notes[oldMembersNote]; !old.empty()) {
+        // From before there were epochs: its members are the first, each on the disk that it had then.
+        reg::Standing first{{1, {}}, true, {}, {}};
+        for (std::size_t from = 0, to = 0; from < old.size(); from = to + 1) {
+            to = std::min(old.find(',', from), old.size());
+            const auto address = old.substr(from, to - from);
+            first.epoch.members.push_back({address, "first-" + address, "", ""});
+        }
+        disk = "first-" + me_, update.standing = first;
+    } else if (update.cells.empty() && boot_.bootstrap &&
+               std::binary_search(seeds_.begin(), seeds_.end(), me_)) {
+        founding = true;
+        reg::Standing first{{0, {}}, true, {}, {}};
+        for (const auto& seed : seeds_) first.epoch.members.push_back({seed, "", "", ""});
+        update.standing = first;
     }
-    fresh_ = members.empty() && boot_.bootstrap;
-    if (fresh_) candidates_.insert(me_);
-    open_ = true;
-    log("book_open", {{"members", members},
-                      {"blank", members.empty()},
-                      {"fresh", fresh_},
+    const bool fresh = notes[diskNote].empty();
+    if (disk.empty()) disk = newDisk();
+    copy_ = reg::Copy(me_, disk);
+    copy_.put(update);
+    if (copy_.standing().open) epoch_ = copy_.standing().epoch;
+    follow(standing());
+    log("book_open", {{"disk", disk},
+                      {"epoch", copy_.standing().epoch.number},
+                      {"votes", copy_.counts()},
+                      {"founding", founding},
                       {"keys", copy_.cells().size()}});
-    form();
-}
-
-// At the system's first start: as soon as as many prompters are known as are to keep the register.
-void Keeper::form() {
-    if (!fresh_ || !members_.empty() || candidates_.size() < size_) return;
-    members_ = candidates_;
-    std::string text;
-    for (const auto& member : members_) text += (text.empty() ? "" : ",") + member;
-    Errand errand;
-    errand.notes[membersNote] = text;
-    errand.after = [this, text] {
-        copy_.filled();
-        fresh_ = false;
-        log("formed", {{"members", text}});
+    if (!fresh) {
+        open_ = true;
+        confirm();
+        return;
+    }
+    // The identity, and at the first start that this is a founder, go on the disk before anything is said.
+    Job job;
+    job.update.standing = copy_.standing();
+    job.notes[diskNote] = disk;
+    job.after = [this] { open_ = confirmed_ = true, pingAll(); };
+    enqueue(std::move(job));
+}
+
+// What others saw of this disk must not lie above what it holds: else it is an older image of itself.
+void Keeper::confirm() {
+    if (confirmed_ || !open_) return;
+    const auto& epoch = copy_.standing().epoch;
+    std::size_t heard = 1;
+    for (const auto& member : epoch.members) heard += confirmedBy_.contains(member.address);
+    if (copy_.member(epoch) && heard < epoch.majority()) return;
+    confirmed_ = true;
+    if (!jobs_.empty() && !working_) {
+        working_ = true;
+        start(io_, "register copy", work());
+    }
+}
+
+// This disk forgot something, or another has taken its name: it goes on as a new one, which never answered.
+void Keeper::renew(const char* why) {
+    log("disk_renewed", {{"step", "identity"}, {"why", why}, {"disk", copy_.disk()}});
+    const auto standing = copy_.standing();
+    auto cells = copy_.cells();
+    copy_ = reg::Copy(me_, newDisk());
+    copy_.put({{}, standing});
+    jobs_.clear();
+    confirmed_ = false, open_ = false, writes_ = 0;
+    Job job;
+    for (const auto& [key, _] : cells) job.update.cells[key] = {};
+    job.update.standing = standing;
+    job.notes[diskNote] = copy_.disk();
+    job.after = [this] {
+        open_ = confirmed_ = true;
+        for (const auto& key : keys) retain(key);
     };
-    enqueue(std::move(errand));
+    enqueue(std::move(job));
 }
 
-Json Keeper::greeting() const {
+// ---- The own copy: one job after the other, each on disk before its reply. ----
+
+void Keeper::enqueue(Job job) {
+    jobs_.push_back(std::move(job));
+    if (working_ || (open_ && !confirmed_)) return;
+    working_ = true;
+    start(io_, "register copy", work());
+}
+
+Task<> Keeper::work() {
+    while (!jobs_.empty()) {
+        auto job = std::move(jobs_.front());
+        jobs_.pop_front();
+        std::optional<reg::Update> update;
+        reg::Reply reply;
+        if (job.request) reply = copy_.weigh(*job.request, update);
+        else update = job.update;
+        if (update) {
+            const auto disk = copy_.disk();
+            if (!co_await write(*update, job.notes)) {
+                if (job.request) continue;  // no word
+                jobs_.push_back(std::move(job));
+                co_await sleep(2 * maintainEvery);
+                continue;
+            }
+            if (copy_.disk() != disk) continue;  // renewed meanwhile
+            copy_.put(*update);
+            for (const auto& [key, cell] : update->cells) {
+                if (!job.request || cell.accepted <= known(key).ballot) continue;
+                if (const auto at = inForce_.find(key); at != inForce_.end() && at->second == cell.accepted)
+                    learn(key, cell.accepted, cell.value);
+                else acceptedAt_[key] = now();
+            }
+            if (update->standing) follow(standing());
+        }
+        reply.writes = writes_;
+        if (job.reply) job.reply(reply);
+        if (job.after) job.after();
+    }
+    working_ = false;
+}
+
+Task<bool> Keeper::write(reg::Update update, std::map<std::string, std::string> notes) {
+    if (update.standing) {
+        notes[standingNote] = membership::write(*update.standing).dump();
+        if (update.standing->open)  // what the copy drops is dropped on the disk
+            for (const auto& [key, _] : copy_.cells())
+                if (key.starts_with("epoch/") && key != reg::successorKey(update.standing->epoch))
+                    update.cells.emplace(key, reg::Cell{});
+    }
+    notes[writesNote] = std::to_string(writes_ + 1);
+    notes[witnessNote] = Json(witnessed_).dump();
+    Bell bell(io_);
+    std::string failure;
+    bool ended = false;
+    asio::post(disk_, [&] {
+        try {
+            if (!book_) book_ = opener_(false);
+            book_->write(update.cells, notes);
+        } catch (const std::exception& error) {
+            failure = error.what();
+            book_.reset();  // LMDB takes no more after some failures: opened anew with the next write
+        }
+        asio::post(io_, [&] { ended = true, bell.ring(); });
+    });
+    while (!ended) co_await bell.wait(now() + 3600 * second);
+    if (!failure.empty()) log("disk_refused", {{"step", "write"}, {"error", failure}});
+    else ++writes_;
+    co_return failure.empty();
+}
+
+// ---- Who there is: pings, contact, epochs. ----
+
+Json Keeper::holds() const {
+    Json held = Json::object();
+    for (const auto& key : keys)
+        if (const auto& cell = copy_.cell(key); cell.accepted.round > 0)
+            held[key] = cues::write(cell.accepted);
+    return held;
+}
+
+Json Keeper::about() const {
+    return {{"at", me_},
+            {"disk", open_ ? copy_.disk() : ""},
+            {"zone", boot_.zone},
+            {"region", boot_.region},
+            {"eligible", boot_.quorumMember},
+            {"leaving", leaving_},
+            {"epoch", epoch_.number},
+            {"seated", copy_.member(copy_.standing().epoch)},
+            {"writes", writes_},
+            {"held", holds()}};
+}
+
+Json Keeper::standing() const {
+    Json told{{"t", "standing"}, {"epoch", membership::write(epoch_)}};
+    const auto& own = copy_.standing();
+    if (own.open && own.epoch.number > epoch_.number) told["epoch"] = membership::write(own.epoch);
+    if (own.next) told["from"] = membership::write(own.epoch), told["to"] = membership::write(*own.next);
+    else if (!own.open && own.before)
+        told["from"] = membership::write(*own.before), told["to"] = membership::write(own.epoch);
+    else if (successor_)
+        told["from"] = membership::write(successor_->first),
+        told["to"] = membership::write(successor_->second);
+    return told;
+}
+
+void Keeper::tellStanding() {
+    const auto packed = Link::pack(standing());
+    for (const auto& [_, link] : links_) link->send(packed);
+}
+
+// What is told of epochs, by this disk or another prompter.
+void Keeper::follow(const Json& told) {
+    const auto epoch = membership::readEpoch(told.at("epoch"));
+    if (epoch.number > epoch_.number) adopt(epoch);
+    if (!told.contains("to")) return;
+    auto from = membership::readEpoch(told.at("from")), to = membership::readEpoch(told.at("to"));
+    if (to.number <= epoch_.number || (successor_ && successor_->second.number >= to.number)) return;
+    successor_ = {std::move(from), std::move(to)};
+    successorSince_ = now();
+}
+
+void Keeper::adopt(const reg::Epoch& epoch) {
+    const bool seated = epoch_.number == 0 || copy_.member(epoch_);
+    epoch_ = epoch;
+    if (successor_ && successor_->second.number <= epoch.number) successor_.reset();
     Json members = Json::array();
-    for (const auto& member : members_.empty() ? candidates_ : members_) members.push_back(member);
-    return {{"members", std::move(members)}, {"formed", formed()}};
+    for (const auto& member : epoch.members) members.push_back(member.address);
+    log("epoch", {{"number", epoch.number}, {"members", members}, {"votes", copy_.member(epoch)}});
+    if (!seated && copy_.member(epoch)) log("rejoined", {{"number", epoch.number}, {"disk", copy_.disk()}});
+    const auto& own = copy_.standing();
+    if (own.epoch.number < epoch.number || (own.epoch.number == epoch.number && !own.open)) {
+        Job job;
+        reg::Request install;
+        install.kind = reg::Request::Kind::install, install.epoch = epoch.number, install.to = epoch;
+        install.open = true;
+        job.request = install;
+        enqueue(std::move(job));
+    }
+    for (const auto& [_, pending] : pending_) pending->bell.ring();
+    pingAll();  // who answers as one of it is in contact
+    owner_.moved();
 }
 
-bool Keeper::inContact() const {
-    std::size_t heard = members_.contains(me_);
-    for (const auto& [address, _] : links_) heard += members_.contains(address);
-    return formed() && heard >= size_ / 2 + 1;
+// Whoever holds less than another reads: a change of the members lifts ballots too, and no writer tells of
+// that.
+void Keeper::heardHolds(Peer& peer, const Json& held) {
+    peer.held.clear();
+    for (const auto& [key, ballot] : held.items()) {
+        peer.held[key] = cues::readBallot(ballot);
+        rumoured_[key] = std::max(rumoured_[key], peer.held[key]);
+    }
 }
 
-Json Keeper::describe() const { return {{"members", members_}, {"contact", inContact()}}; }
+void Keeper::heardOf(const Json& told) {
+    const auto at = told.at("at").get<std::string>();
+    if (at == me_) return;
+    auto& peer = peers_[at];
+    peer.member = {at, told.at("disk").get<std::string>(), told.at("zone").get<std::string>(),
+                   told.at("region").get<std::string>()};
+    told.at("eligible").get_to(peer.eligible);
+    told.at("leaving").get_to(peer.leaving);
+    told.at("epoch").get_to(peer.epoch);
+    told.at("seated").get_to(peer.seated);
+    heardHolds(peer, told.at("held"));
+    peer.heardAt = now();
+    if (peer.member.disk.empty()) return;  // not open yet
+    auto& seen = witnessed_[peer.member.disk];
+    seen = std::max(seen, told.at("writes").get<std::uint64_t>());
+}
 
-Task<> Keeper::leave() { co_return; }
+Json Keeper::greeting() const {
+    std::set<std::string> known;
+    for (const auto& member : epoch_.members) known.insert(member.address);
+    if (!formed()) {
+        known.insert(seeds_.begin(), seeds_.end());
+        if (std::binary_search(seeds_.begin(), seeds_.end(), me_)) known.insert(me_);
+    }
+    return {{"members", known},
+            {"formed", formed()},
+            {"sure", contact_},
+            {"about", about()},
+            {"standing", standing()}};
+}
 
 void Keeper::greeted(const Json& hello) {
-    const auto members = hello.at("members").get<std::set<std::string>>();
-    const bool theirs = hello.at("formed").get<bool>();
-    if (!members_.empty()) return;
-    if (theirs && members.size() == size_ && !(fresh_ && !members.contains(me_))) {
-        if (!fresh_) {
-            members_ = members;
-        } else {
-            candidates_ = members;
+    heardOf(hello.at("about"));
+    follow(hello.at("standing"));
+}
+
+// A ping carries all about its sender where that is new, else no more than what is needed to answer it.
+Json Keeper::pinging(bool whole) const {
+    Json told{{"t", "ping"}, {"sent", now()}, {"at", me_}, {"epoch", epoch_.number}};
+    told["disk"] = open_ ? copy_.disk() : "";
+    if (whole) told["about"] = about();
+    return told;
+}
+
+void Keeper::ping(Link& link) { link.send(pinging(true)); }
+
+void Keeper::pingAll() {
+    auto mine = about();
+    const bool whole = mine != aboutTold_;
+    const auto packed = Link::pack(pinging(whole));
+    aboutTold_ = std::move(mine);
+    for (const auto& [_, link] : links_) link->send(packed);
+}
+
+void Keeper::pong(const Json& message) {
+    const auto at = message.at("at").get<std::string>();
+    auto& peer = peers_[at];
+    peer.heardAt = now();
+    peer.answeredAt = std::max(peer.answeredAt, message.at("sent").get<Nanos>());
+    message.at("epoch").get_to(peer.epoch);
+    message.at("seated").get_to(peer.seated);
+    heardHolds(peer, message.at("held"));
+    message.at("disk").get_to(peer.member.disk);
+    if (message.at("of").get_ref<const std::string&>() != copy_.disk() || !open_) return;
+    if (message.at("seen").get<std::uint64_t>() > writes_) return renew("others saw a later life of it");
+    if (!confirmed_) confirmedBy_.insert(at), confirm();
+    if (formed() && !contact_ && !reading_ && reachable()) start(io_, "register", readAll());
+}
+
+bool Keeper::reachable() const {
+    if (epoch_.members.empty()) return false;
+    std::size_t heard = 0;
+    for (const auto& member : epoch_.members) {
+        if (member.address == me_) {
+            heard += confirmed_ && copy_.member(epoch_);
+            continue;
         }
-    } else if (fresh_) {
-        for (const auto& member : members)
-            if (candidates_.size() < size_) candidates_.insert(member);
+        const auto peer = peers_.find(member.address);
+        // One that has not heard of a new epoch yet is in reach all the same; one that is ahead is asked
+        // first.
+        if (peer == peers_.end() || peer->second.epoch > epoch_.number) continue;
+        // Of the founding only addresses are known: one whose disk is new is no founder.
+        if (epoch_.number > 0 ? peer->second.member.disk != member.disk : !peer->second.seated) continue;
+        heard += peer->second.answeredAt > 0 && now() - peer->second.answeredAt <= boot_.controlContact;
     }
-    form();
+    return heard >= epoch_.majority();
 }
 
 void Keeper::joined(const std::string& to, std::shared_ptr<Link> link) {
-    if (members_.contains(to))
-        for (const auto& [id, pending] : pending_) link->send(ask(id, pending->run));
+    for (const auto& [id, pending] : pending_) {
+        links_[to] = link;
+        ask(id, *pending, &to);
+    }
+    ping(*link);
     links_[to] = std::move(link);
 }
 void Keeper::parted(const std::string& to) { links_.erase(to); }
 
+// ---- What is in force. ----
+
 const Keeper::Known& Keeper::known(const std::string& key) const {
     static const Known none;
     const auto at = known_.find(key);
@@ -167,106 +464,116 @@
     known = {ballot, value};
     if (const auto at = acceptedAt_.find(key); at != acceptedAt_.end() && copy_.cell(key).accepted <= ballot)
         acceptedAt_.erase(at);
-    if (newer) learnt_(key);
+    retain(key);
+    if (newer) owner_.learnt(key);
 }
 
-// ---- The own copy: one errand after the other, each on disk before its reply. ----
+// Told to be in force: where this disk has taken that very ballot, it has the value; else it is read.
+void Keeper::inForce(const std::string& key, const reg::Ballot& ballot) {
+    inForce_[key] = std::max(inForce_[key], ballot);
+    rumoured_[key] = std::max(rumoured_[key], ballot);
+    if (const auto& cell = copy_.cell(key); ballot.round > 0 && cell.accepted == ballot)
+        learn(key, ballot, std::string(cell.value));
+}
 
-void Keeper::enqueue(Errand errand) {
-    errands_.push_back(std::move(errand));
-    if (working_) return;
-    working_ = true;
-    start(io_, "register copy", work());
+// What is surely in force goes on this disk too, if it is not there: one that stands by has all values when
+// it becomes a member, and a member that was down has what it missed.
+void Keeper::retain(const std::string& key) {
+    const auto& known = this->known(key);
+    if (!open_ || !confirmed_ || known.ballot.round == 0 || copy_.cell(key).accepted >= known.ballot) return;
+    if (jobs_.size() >= jobsAtMost) return;  // the disk hangs
+    Job job;
+    if (copy_.counts()) {
+        reg::Request accept;
+        accept.kind = reg::Request::Kind::accept, accept.epoch = copy_.standing().epoch.number;
+        accept.key = key, accept.ballot = known.ballot, accept.value = known.value;
+        job.request = accept;
+    } else {
+        if (copy_.member(copy_.standing().epoch)) return;  // sealed: nothing more goes into it
+        auto cell = held(key);
+        cell.promised = std::max(cell.promised, copy_.cell(key).promised);
+        job.update.cells[key] = std::move(cell);
+    }
+    enqueue(std::move(job));
 }
 
-Task<> Keeper::work() {
-    while (!errands_.empty()) {
-        auto errand = std::move(errands_.front());
-        errands_.pop_front();
-        if (!errand.reply) {  // cells and notes as they are
-            auto cells = errand.cells;
-            if (co_await write(errand.cells, errand.notes)) {
-                for (auto& [key, cell] : cells) copy_.put(key, std::move(cell));
-                if (errand.after) errand.after();
-            } else {
-                errands_.push_back(std::move(errand));
-                co_await sleep(tendEvery);
-            }
-            continue;
+// ---- Runs at keys. ----
+
+// Sends what a run or a change of the members asks now: to all that it asks, or to `only` one address.
+void Keeper::ask(std::uint64_t id, const Pending& pending, const std::string* only) {
+    std::vector<std::pair<Json, reg::Request>> all;
+    if (pending.run) {
+        all.emplace_back(aboutStep(pending.run->step()), pending.run->request());
+    } else {
+        const auto step = static_cast<int>(pending.succession->step());
+        for (auto& request : pending.succession->requests()) {
+            const auto run = pending.succession->runs().find(request.key);
+            const int inRun =
+                run == pending.succession->runs().end() ? 0 : static_cast<int>(run->second.step());
+            all.emplace_back(Json::array({step, request.key, inRun}), std::move(request));
         }
-        std::optional<reg::Cell> changed;
-        const auto reply = copy_.weigh(errand.request, changed);
-        if (changed) {
-            std::map<std::string, reg::Cell> cells;
-            cells.emplace(errand.request.key, *changed);
-            if (!co_await write(std::move(cells), std::map<std::string, std::string>())) continue;  // no word
-            copy_.put(errand.request.key, *changed);
-            if (changed->accepted > known(errand.request.key).ballot) acceptedAt_[errand.request.key] = now();
+    }
+    for (const auto& [about, request] : all) {
+        std::shared_ptr<const std::string> packed;
+        for (const auto& member : pending.asked().members) {
+            if (only && member.address != *only) continue;
+            if (member.address == me_) {
+                Job job;
+                job.request = request;
+                job.reply = [this, id, about](const reg::Reply& reply) { answered(id, me_, about, reply); };
+                if (open_ && jobs_.size() < jobsAtMost) enqueue(std::move(job));
+                continue;
+            }
+            const auto link = links_.find(member.address);
+            if (link == links_.end()) continue;
+            if (!packed)
+                packed = Link::pack(
+                    {{"t", "reg"}, {"id", id}, {"about", about}, {"request", membership::write(request)}});
+            link->second->send(packed);
         }
-        errand.reply(reply);
     }
-    working_ = false;
 }
 
-Task<bool> Keeper::write(std::map<std::string, reg::Cell> cells, std::map<std::string, std::string> notes) {
-    Bell bell(io_);
-    std::string failure;
-    bool ended = false;
-    asio::post(disk_, [&] {
-        try {
-            if (!book_) book_ = opener_(false);
-            book_->write(cells, notes);
-        } catch (const std::exception& error) {
-            failure = error.what();
-            book_.reset();  // LMDB takes no more after some failures: opened anew with the next write
-        }
-        asio::post(io_, [&] { ended = true, bell.ring(); });
-    });
-    while (!ended) co_await bell.wait(now() + 3600 * second);
-    if (!failure.empty()) log("disk_refused", {{"step", "write"}, {"error", failure}});
-    co_return failure.empty();
+void Keeper::answered(std::uint64_t id, const std::string& from, const Json& about, const reg::Reply& reply) {
+    const auto at = pending_.find(id);
+    if (at == pending_.end()) return;
+    auto& pending = *at->second;
+    const auto& members = pending.asked().members;
+    const auto place = std::find_if(members.begin(), members.end(),
+                                    [&](const reg::Member& member) { return member.address == from; });
+    if (place == members.end()) return;
+    const auto member = static_cast<std::uint32_t>(place - members.begin());
+    const bool moved =
+        pending.run
+            ? pending.run->on(member, static_cast<reg::Run::Step>(about.at(0).get<int>()), reply)
+            : pending.succession->on(member, static_cast<reg::Succession::Step>(about.at(0).get<int>()),
+                                     about.at(1).get<std::string>(),
+                                     static_cast<reg::Run::Step>(about.at(2).get<int>()), reply);
+    if (moved) pending.bell.ring();
 }
 
-// ---- Runs at keys. ----
-
 Task<std::optional<std::string>> Keeper::change(std::string key, reg::Change change, Nanos within,
                                                 bool look) {
     const Nanos end = now() + within;
-    std::mt19937 chance(static_cast<unsigned>(now()));
-    while (now() < end) {
-        if (!formed()) {
-            co_await sleep(20 * ms);
+    std::mt19937 chance(static_cast<unsigned>(now()) ^ number(me_));
+    for (int misses = 0; now() < end;) {
+        if (!reachable()) {
+            co_await sleep(10 * ms);  // one that asks again and again gets no more than this
+            // Just after a change of the members the new ones have not answered yet.
+            if (!contact_ || ++misses > 10) co_return std::nullopt;
             continue;
         }
         const auto id = ++runs_;
+        const auto epoch = epoch_;
         auto pending = std::make_shared<Pending>(
-            reg::Run(key, size_, number(me_), above_[key], change, look,
-                     reg::Cell{known(key).ballot, known(key).ballot, known(key).value}),
-            io_);
+            reg::Run(key, epoch, number(me_), above_[key], change, look, held(key)), epoch, io_);
         pending_[id] = pending;
-        auto& run = pending->run;
+        auto& run = *pending->run;
         const Nanos until = std::min(end, now() + runWithin);
-        for (bool sent = false; now() < until;) {
+        for (bool sent = false; now() < until && epoch_.number == epoch.number;) {
             const auto step = run.step();
             if (step == reg::Run::Step::done || step == reg::Run::Step::lost) break;
-            if (!sent) {
-                const auto request = run.request();
-                const auto packed = Link::pack(Json{{"t", "reg"},
-                                                    {"id", id},
-                                                    {"step", static_cast<int>(step)},
-                                                    {"request", prompter::write(request)}});
-                for (const auto& [address, link] : links_)
-                    if (members_.contains(address) && address != me_) link->send(packed);
-                Errand errand;
-                errand.request = request;
-                errand.reply = [this, id, step](const reg::Reply& reply) {
-                    const auto at = pending_.find(id);
-                    if (at != pending_.end() && at->second->run.on(number(me_), step, reply))
-                        at->second->bell.ring();
-                };
-                enqueue(std::move(errand));
-                sent = true;
-            }
+            if (!std::exchange(sent, true)) ask(id, *pending, nullptr);
             if (co_await pending->bell.wait(until)) sent = run.step() == step;
         }
         pending_.erase(id);
@@ -274,14 +581,12 @@
         if (run.step() == reg::Run::Step::done) {
             const auto value = run.value();
             const auto ballot = run.ballot();
-            if (ballot > known(key).ballot) {
-                const auto packed = Link::pack(Json{{"t", "learn"},
-                                                    {"key", key},
-                                                    {"ballot", cues::write(ballot)},
-                                                    {"value", cues::writeText(value)}});
+            if (ballot > known(key).ballot && !key.starts_with("epoch/")) {
+                const auto packed =
+                    Link::pack(Json{{"t", "learn"}, {"key", key}, {"ballot", cues::write(ballot)}});
                 for (const auto& [_, link] : links_) link->send(packed);
             }
-            learn(key, ballot, value);
+            if (!key.starts_with("epoch/")) learn(key, ballot, value);
             co_return value;
         }
         look = false;
@@ -299,79 +604,241 @@
 bool Keeper::heard(Link& link, const Json& message) {
     const auto& kind = message.at("t").get_ref<const std::string&>();
     if (kind == "reg") {
-        if (errands_.size() >= errandsAtMost)
+        if (!open_ || jobs_.size() >= jobsAtMost)
             return true;  // the disk hangs: no word, as from one that is down
-        Errand errand;
-        errand.request = readRequest(message.at("request"));
-        errand.reply = [to = link.weak_from_this(), id = message.at("id"),
-                        step = message.at("step")](const reg::Reply& reply) {
+        Job job;
+        job.request = membership::readRequest(message.at("request"));
+        job.reply = [to = link.weak_from_this(), id = message.at("id"),
+                     about = message.at("about")](const reg::Reply& reply) {
             if (const auto open = to.lock())
-                open->send(Json{{"t", "reply"},
-                                {"id", id},
-                                {"step", step},
-                                {"blank", reply.blank},
-                                {"taken", reply.taken},
-                                {"spared", reply.spared},
-                                {"cell", cues::write(reply.cell)}});
+                open->send(
+                    Json{{"t", "reply"}, {"id", id}, {"about", about}, {"reply", membership::write(reply)}});
         };
-        enqueue(std::move(errand));
+        enqueue(std::move(job));
     } else if (kind == "reply") {
-        const auto at = pending_.find(message.at("id").get<std::uint64_t>());
-        if (at == pending_.end()) return true;
-        const reg::Reply reply{message.at("blank").get<bool>(), message.at("taken").get<bool>(),
-                               cues::readCell(message.at("cell")), message.at("spared").get<bool>()};
-        const auto step = static_cast<reg::Run::Step>(message.at("step").get<int>());
-        if (at->second->run.on(number(link.peer), step, reply)) at->second->bell.ring();
+        const auto reply = membership::readReply(message.at("reply"));
+        if (const auto peer = peers_.find(link.peer); peer != peers_.end()) {
+            auto& seen = witnessed_[peer->second.member.disk];
+            seen = std::max(seen, reply.writes);
+        }
+        answered(message.at("id").get<std::uint64_t>(), link.peer, message.at("about"), reply);
     } else if (kind == "learn") {
-        learn(message.at("key").get<std::string>(), cues::readBallot(message.at("ballot")),
-              cues::readText(message.at("value")));
+        inForce(message.at("key").get<std::string>(), cues::readBallot(message.at("ballot")));
     } else if (kind == "known") {
-        for (const auto& [key, ballot] : message.at("ballots").items()) {
-            auto& rumour = rumoured_[key];
-            rumour = std::max(rumour, cues::readBallot(ballot));
-        }
+        for (const auto& [key, ballot] : message.at("ballots").items())
+            inForce(key, cues::readBallot(ballot));
+    } else if (kind == "ping") {
+        if (message.contains("about")) heardOf(message.at("about"));
+        else if (const auto peer = peers_.find(message.at("at").get<std::string>()); peer != peers_.end())
+            peer->second.heardAt = now(), message.at("epoch").get_to(peer->second.epoch);
+        const auto& disk = message.at("disk").get_ref<const std::string&>();
+        const auto seen = witnessed_.find(disk);
+        link.send(Json{{"t", "pong"},
+                       {"sent", message.at("sent")},
+                       {"at", me_},
+                       {"epoch", epoch_.number},
+                       {"disk", open_ ? copy_.disk() : ""},
+                       {"seated", copy_.member(copy_.standing().epoch)},
+                       {"of", disk},
+                       {"held", holds()},
+                       {"seen", seen == witnessed_.end() ? 0 : seen->second}});
+        if (message.at("epoch").get<std::uint64_t>() < epoch_.number) link.send(standing());
+    } else if (kind == "pong") {
+        pong(message);
+    } else if (kind == "standing") {
+        follow(message);
     } else {
         return false;
     }
     return true;
 }
 
-// A disk that came back empty: register.hpp tells why each key is written anew by the others first.
-Task<> Keeper::rejoin() {
-    Errand errand;
-    for (const auto& key : keys) {
-        std::optional<std::string> value;
-        while (!value) value = co_await change(key, asItIs, second, false);
-        const auto& known = this->known(key);
-        errand.cells[key] = {known.ballot, known.ballot, known.value};
+// ---- The members, and their change. ----
+
+membership::Tolerance Keeper::tolerance() const {
+    return {boot_.machinesLost, boot_.zonesLost, boot_.regionsLost};
+}
+
+std::vector<membership::Candidate> Keeper::candidates() const {
+    const Nanos absentAfter = boot_.controlReplace > 0 ? boot_.controlReplace : boot_.syncTime * 6 / 10;
+    const auto whole = [&](const auto& holds) {
+        return std::all_of(keys.begin(), keys.end(),
+                           [&](const auto& key) { return holds(key) >= known(key).ballot; });
+    };
+    bool anyEligible = boot_.quorumMember;
+    for (const auto& [_, peer] : peers_) anyEligible = anyEligible || peer.eligible;
+    std::vector<membership::Candidate> all;
+    if (open_ && (boot_.quorumMember || !anyEligible))
+        all.push_back({self(), whole([&](const auto& key) { return copy_.cell(key).accepted; }), !leaving_});
+    for (const auto& [_, peer] : peers_) {
+        if (peer.member.address.empty() || peer.member.disk.empty() || (anyEligible && !peer.eligible))
+            continue;
+        const bool seated = epoch_.number > 0 && epoch_.find(peer.member.address, peer.member.disk);
+        // One that was out of reach while contact was lost has had no chance to be heard.
+        const Nanos quiet = now() - std::max(peer.heardAt, seated ? contactSince_ : 0);
+        all.push_back({peer.member, whole([&](const auto& key) {
+                           const auto at = peer.held.find(key);
+                           return at == peer.held.end() ? reg::Ballot{} : at->second;
+                       }),
+                       !peer.leaving && quiet <= (seated ? absentAfter : standsByFor)});
     }
-    for (const auto& member : members_) {
-        auto& text = errand.notes[membersNote];
-        text += (text.empty() ? "" : ",") + member;
+    return all;
+}
+
+std::vector<reg::Member> Keeper::planned(bool leaving) const {
+    auto all = candidates();
+    if (leaving)
+        for (auto& one : all) one.present = one.present && one.member.address != me_;
+    return membership::plan(formed() ? epoch_.members : std::vector<reg::Member>{}, all, tolerance());
+}
+
+Task<bool> Keeper::propose(std::vector<reg::Member> members) {
+    changing_ = true;
+    const auto from = epoch_;
+    const reg::Epoch to{from.number + 1, std::move(members)};
+    const auto value = membership::write(to).dump();
+    const reg::Change first = [value](const std::string& held) { return held.empty() ? value : held; };
+    const auto decided = co_await change(reg::successorKey(from), first, changeWithin, false);
+    bool done = false;
+    if (decided && epoch_.number == from.number) {
+        successor_ = {from, membership::readEpoch(Json::parse(*decided))};
+        successorSince_ = now();
+        done = co_await succeed(successor_->first, successor_->second);
     }
-    errand.after = [this] {
-        copy_.filled();
-        log("rejoined", {{"keys", copy_.cells().size()}});
+    changing_ = false;
+    co_return done;
+}
+
+Task<bool> Keeper::succeed(reg::Epoch from, reg::Epoch to) {
+    reg::Cells holds;
+    for (const auto& key : keys)
+        if (known(key).ballot.round > 0) holds[key] = held(key);
+    const auto id = ++runs_;
+    auto pending = std::make_shared<Pending>(reg::Succession(from, to, number(me_), std::move(holds)), io_);
+    pending_[id] = pending;
+    const auto& succession = *pending->succession;
+    using Step = reg::Succession::Step;
+    const Nanos end = now() + changeWithin;
+    Nanos next = 0;
+    while (now() < end && epoch_.number < to.number && succession.step() != Step::done &&
+           succession.step() != Step::lost) {
+        if (now() >= next) ask(id, *pending, nullptr), next = now() + askAgain;
+        if (co_await pending->bell.wait(std::min(end, next))) next = 0;
+    }
+    pending_.erase(id);
+    const bool done = succession.step() == Step::done;
+    if (done && epoch_.number < to.number) adopt(to);
+    if (done) tellStanding();
+    co_return done;
+}
+
+// One look at who there is: a change that was left halfway is ended, one that is due is proposed.
+Task<> Keeper::steward() {
+    if (changing_ || !open_ || !confirmed_) co_return;
+    std::mt19937 chance(static_cast<unsigned>(now()) ^ number(me_));
+    if (successor_) {
+        if (now() - successorSince_ < deferFor / 2 + static_cast<Nanos>(chance() % 200) * ms) co_return;
+        changing_ = true;
+        const auto [from, to] = *successor_;
+        if (!co_await succeed(from, to)) successorSince_ = now();
+        changing_ = false;
+        co_return;
+    }
+    if (!reachable() || !copy_.member(epoch_) || (formed() && !contact_)) co_return;
+    const auto target = planned(false);
+    if (target.empty() || (formed() && target == epoch_.members)) {
+        wantedSince_ = 0;
+        co_return;
+    }
+    if (wantedSince_ == 0) wantedSince_ = now();
+    if (!formed() && now() - began_ < foundPatience && !membership::notBorne(target, tolerance()).empty())
+        co_return;
+    std::vector<std::string> present;
+    for (const auto& one : candidates())
+        if (one.present && (formed() ? epoch_.find(one.member.address, one.member.disk)
+                                     : epoch_.find(one.member.address, "")))
+            present.push_back(one.member.address);
+    const auto turn = company::chosen(present, "members", 1);
+    if (!turn.empty() && turn.front() != me_ && now() - wantedSince_ < deferFor) co_return;
+    wantedSince_ = 0;
+    Json names = Json::array();
+    for (const auto& member : target) names.push_back(member.address);
+    log("members_proposed", {{"epoch", epoch_.number + 1}, {"members", names}});
+    co_await propose(target);
+}
+
+Task<> Keeper::leave() {
+    leaving_ = true;
+    pingAll();
+    if (!contact_ || !copy_.member(epoch_)) co_return;
+    const auto stays = [&](const std::vector<reg::Member>& members) {
+        return std::any_of(members.begin(), members.end(),
+                           [&](const auto& member) { return member.address == me_; });
     };
-    enqueue(std::move(errand));
+    const auto standsBy = [&] {
+        const auto all = candidates();
+        return std::any_of(all.begin(), all.end(), [&](const auto& one) {
+            return one.present && !epoch_.find(one.member.address, one.member.disk);
+        });
+    };
+    // One that stands by may have the newest value still to write.
+    for (const Nanos end = now() + changeWithin; now() < end && stays(epoch_.members) && standsBy();) {
+        const auto target = planned(true);
+        if (!changing_ && !stays(target)) co_await propose(target);
+        else co_await sleep(maintainEvery);
+    }
+    if (stays(epoch_.members)) log("seat_kept", {{"step", "leave"}, {"members", epoch_.members.size()}});
 }
 
-Task<> Keeper::tend() {
-    bool rejoining = false;
-    std::set<std::string> first(keys.begin(), keys.end());  // nothing is known yet at a start
-    for (;;) {
-        co_await sleep(tendEvery);
-        if (!open_ || !formed()) continue;
-        if (copy_.blank() && !fresh_ && !std::exchange(rejoining, true)) start(io_, "rejoin", rejoin());
+// Every key from a majority: at the start, and whenever contact is back.
+Task<> Keeper::readAll() {
+    reading_ = true;
+    bool all = true;
+    for (const auto& key : keys) all = all && (co_await read(key, second)).has_value();
+    reading_ = false;
+    if (!all || !reachable() || contact_) co_return;
+    contact_ = true;
+    if (!std::exchange(metOnce_, true)) log("formed", {{"epoch", epoch_.number}, {"keys", known_.size()}});
+    log("contact", {{"epoch", epoch_.number}});
+    owner_.moved();
+}
+
+Task<> Keeper::maintain() {
+    for (Nanos pinged = 0;;) {
+        co_await sleep(maintainEvery);
+        if (!open_) continue;
+        if (now() - pinged >= pingEvery) pinged = now(), pingAll();
+        confirm();
+        const bool reached = formed() && reachable();
+        if (!reached) {
+            contactSince_ = now();
+            if (std::exchange(contact_, false)) {
+                log("contact_lost", {{"step", "contact"}, {"epoch", epoch_.number}});
+                owner_.moved();
+            }
+        } else if (!contact_ && !reading_) {
+            start(io_, "register", readAll());
+        }
+        if (!changing_) start(io_, "members", steward());
+        std::string unborne;
+        if (formed())
+            for (const auto& one : membership::notBorne(epoch_.members, tolerance()))
+                unborne += (unborne.empty() ? "" : ", ") + one;
+        if (unborne != std::exchange(unborne_, unborne))
+            log(unborne.empty() ? "borne" : "not_borne",
+                {{"epoch", epoch_.number}, {"loss_of", unborne}, {"members", epoch_.members.size()}});
+        if (!contact_) continue;
         for (const auto& key : keys) {
             const auto accepted = acceptedAt_.find(key);
             const bool unlearnt = accepted != acceptedAt_.end() && now() - accepted->second > unlearntFor;
             const auto rumour = rumoured_.find(key);
             const bool behind = rumour != rumoured_.end() && rumour->second > known(key).ballot;
-            if (!unlearnt && !behind && !first.contains(key)) continue;
+            if (!unlearnt && !behind) {
+                if (!working_) retain(key);
+                continue;
+            }
             const auto value = co_await read(key, second);
             if (!value) continue;
-            first.erase(key);
             if (const auto at = acceptedAt_.find(key);
                 at != acceptedAt_.end() && now() - at->second > unlearntFor)
                 acceptedAt_.erase(at);
@@ -379,4 +846,24 @@
     }
 }
 
+Json Keeper::describe() const {
+    Json members = Json::array(), standsBy = Json::array();
+    for (const auto& member : epoch_.members) {
+        Json one{{"address", member.address}, {"disk", member.disk}, {"zone", member.zone}};
+        const auto peer = peers_.find(member.address);
+        if (member.address != me_)
+            one["heard_ms_ago"] = peer == peers_.end() || peer->second.heardAt == 0
+                                      ? Json(nullptr)
+                                      : Json((now() - peer->second.heardAt) / ms);
+        members.push_back(std::move(one));
+    }
+    for (const auto& one : candidates())
+        if (one.present && !epoch_.find(one.member.address, one.member.disk))
+            standsBy.push_back({{"address", one.member.address}, {"whole", one.whole}});
+    return {{"epoch", epoch_.number}, {"members", members},
+            {"stands_by", standsBy},  {"disk", copy_.disk()},
+            {"votes", votes()},       {"contact", contact_},
+            {"not_borne", unborne_},  {"changing", successor_.has_value()}};
+}
+
 }  // namespace lichenlanding::prompter
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -1,5 +1,6 @@
-// The prompter's part in the register: its own copy on disk, runs at keys over the members' links, rejoining
-// after a lost disk. The rules are src/register's; here are the disk's thread, messages and time.
+// The prompter's part in the register: its own copy on disk, runs at keys over the members' links, who the
+// members are and whether a majority of them is in reach. The rules are src/register's and src/membership's;
+// here are the disk's thread, messages and time. docs/design/control.md.
 #pragma once
 
 #include <array>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "membership/membership.hpp"
 #include "playbill/boot.hpp"
 #include "promptbook/promptbook.hpp"
 #include "register/register.hpp"
@@ -28,80 +30,135 @@
         reg::Ballot ballot;
         std::string value;
     };
+    // What the host does with it. `learnt`: a newer value of a key is surely in force. `moved`: there are
+    // other members, or contact has come or gone.
+    struct Owner {
+        std::function<void(const std::string& key)> learnt;
+        std::function<void()> moved;
+    };
 
     // Opens the disk's book; `anew`: what is there is damaged and put aside. Called on the disk's thread too.
     using Opener = std::function<std::unique_ptr<promptbook::Book>(bool anew)>;
     static Opener onDisk(const playbill::Boot& boot);  // in the settings' data_dir
 
-    // `learnt` is called with each newer value that is surely in force.
-    Keeper(wings::asio::io_context& io, const playbill::Boot& boot,
-           std::function<void(const std::string&)> learnt, Opener opener);
+    Keeper(wings::asio::io_context& io, const playbill::Boot& boot, Owner owner, Opener opener);
     ~Keeper();
 
     void open();  // the disk, and what is on it
-    // Messages of members ("reg", "reply", "learn", "known"); true where it was one of them.
+    // Messages of prompters ("reg", "reply", "learn", "known", "ping", "pong", "standing"); true where it was
+    // one of them.
     bool heard(Link& link, const Json& message);
-    // A link to a member is open; `to` is its address. Replies come back on it.
+    // A link to a prompter is open; `to` is its address. Replies come back on it.
     void joined(const std::string& to, std::shared_ptr<Link> link);
     void parted(const std::string& to);
     Json greeting() const;  // fields of a hello: what others need to find all members ("members": addresses)
     void greeted(const Json& hello);  // another prompter's
 
-    // Null where no majority could be had in time.
+    // Null where no majority could be had in time; out of contact, at once.
     // `look`: first see whether a majority agrees on a value that needs no change.
     Task<std::optional<std::string>> change(std::string key, reg::Change change, Nanos within,
                                             bool look = true);
     Task<std::optional<std::string>> read(std::string key, Nanos within);
 
     const Known& known(const std::string& key) const;
-    // Whether a majority of the members has answered of late. Out of contact nothing is confirmed, no duty is
-    // kept, and what is told to foyers is told as not sure. change() and read() then end at once with null.
-    bool inContact() const;
-    Json describe() const;  // for `status`: epoch, members, contact, what is not borne
-    Task<> leave();         // before an end by SIGTERM: hands the membership on where another stands by
-    bool formed() const { return members_.size() == size_; }
-    bool blank() const { return copy_.blank(); }
-    const std::set<std::string>& members() const { return members_; }  // addresses
+    // Whether a majority of the members has answered of late, and every key was read from a majority since
+    // that is so. Out of contact nothing is confirmed, no duty is kept, and what is told to foyers is told as
+    // not sure.
+    bool inContact() const { return contact_; }
+    bool formed() const { return epoch_.number > 0; }
+    bool votes() const { return confirmed_ && copy_.counts(); }  // this copy is part of majorities
+    std::set<std::string> members() const;                       // addresses
+    const reg::Epoch& epoch() const { return epoch_; }
     std::size_t reached() const { return links_.size(); }
-    // Runs at keys whose value another's word or an accepted cell says is newer; once the disk is open.
-    Task<> tend();
+    Json describe() const;  // for `status`: epoch, members, contact, what is not borne
+    // Keeps contact, members and what is known up to date; once the disk is open.
+    Task<> maintain();
+    Task<> leave();  // before an end by SIGTERM: hands the seat on where another stands by
 
   private:
     struct Pending;
-    struct Errand {
-        reg::Request request;
+    // Something for the disk's thread, one after the other: a request to the own copy, or an update as it is.
+    struct Job {
+        std::optional<reg::Request> request;
         std::function<void(const reg::Reply&)> reply;
-        std::map<std::string, reg::Cell> cells;  // to be put as they are (rejoining)
+        reg::Update update;
         std::map<std::string, std::string> notes;
         std::function<void()> after;
     };
-    void enqueue(Errand errand);
+    // Another prompter, as it last told of itself.
+    struct Peer {
+        reg::Member member;
+        bool eligible = false, leaving = false, seated = false;
+        std::uint64_t epoch = 0;
+        std::map<std::string, reg::Ballot> held;
+        Nanos heardAt = 0;     // any word of it
+        Nanos answeredAt = 0;  // the last ping that it answered was sent then
+    };
+    void enqueue(Job job);
     Task<> work();
-    Task<bool> write(std::map<std::string, reg::Cell> cells, std::map<std::string, std::string> notes);
+    Task<bool> write(reg::Update update, std::map<std::string, std::string> notes);
     void learn(const std::string& key, const reg::Ballot& ballot, const std::string& value);
-    void form();
-    Task<> rejoin();
+    void inForce(const std::string& key, const reg::Ballot& ballot);
+    void retain(const std::string& key);
+    reg::Member self() const;
+    Json holds() const;
+    Json about() const;
+    void heardOf(const Json& told);
+    void heardHolds(Peer& peer, const Json& held);
+    void ping(Link& link);
+    void pingAll();
+    Json pinging(bool whole) const;
+    void pong(const Json& message);
+    void confirm();
+    void renew(const char* why);
+    bool reachable() const;
+    void adopt(const reg::Epoch& epoch);
+    void follow(const Json& told);
+    Json standing() const;
+    void tellStanding();
+    std::vector<membership::Candidate> candidates() const;
+    std::vector<reg::Member> planned(bool leaving) const;
+    membership::Tolerance tolerance() const;
+    Task<bool> propose(std::vector<reg::Member> members);
+    Task<bool> succeed(reg::Epoch from, reg::Epoch to);
+    Task<> steward();
+    Task<> readAll();
+    void ask(std::uint64_t id, const Pending& pending, const std::string* only);
+    void answered(std::uint64_t id, const std::string& from, const Json& about, const reg::Reply& reply);
     std::uint32_t number(const std::string& address) const;
+    reg::Cell held(const std::string& key) const;
 
     wings::asio::io_context& io_;
     const playbill::Boot& boot_;
-    std::function<void(const std::string&)> learnt_;
-    std::size_t size_;
+    Owner owner_;
     std::string me_;
-    reg::Copy copy_{true};
-    bool open_ = false, fresh_ = false;  // fresh: an empty disk at the system's first start
+    std::vector<std::string> seeds_;  // internal addresses
+    reg::Copy copy_;
+    bool open_ = false;       // the disk is, with an identity on it
+    bool confirmed_ = false;  // nobody has seen a later life of this disk
     Opener opener_;
     std::unique_ptr<promptbook::Book> book_;
     wings::asio::thread_pool disk_{1};
-    std::deque<Errand> errands_;
+    std::deque<Job> jobs_;
     bool working_ = false;
-    std::set<std::string> candidates_, members_;
-    std::map<std::string, std::shared_ptr<Link>> links_;  // by member's address, that replies come back on
+    std::uint64_t writes_ = 0;  // of this disk, ever
+    reg::Epoch epoch_;          // newest known to be open; of number 0: the founding, or none known
+    std::optional<std::pair<reg::Epoch, reg::Epoch>> successor_;  // decided, not known to be open
+    Nanos successorSince_ = 0, wantedSince_ = 0, contactSince_ = 0;
+    const Nanos began_;
+    bool contact_ = false, leaving_ = false, changing_ = false, reading_ = false, metOnce_ = false;
+    std::string unborne_;
+    Json aboutTold_;                     // what all who are linked were last told of this prompter
+    std::map<std::string, Peer> peers_;  // by address
+    std::map<std::string, std::uint64_t> witnessed_;  // by disk: its writes, as others have told them
+    std::set<std::string> confirmedBy_;
+    std::map<std::string, std::shared_ptr<Link>> links_;  // by address, that replies come back on
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t runs_ = 0;
     std::map<std::string, std::uint64_t> above_;
     std::map<std::string, Known> known_;
-    std::map<std::string, reg::Ballot> rumoured_;  // told to be in force somewhere
+    std::map<std::string, reg::Ballot> inForce_;   // told to be
+    std::map<std::string, reg::Ballot> rumoured_;  // told to be held somewhere
     std::map<std::string, Nanos> acceptedAt_;      // own cells accepted and not yet learnt
 };
 
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -20,7 +20,6 @@
 
 constexpr Nanos tellKnownEvery = 500 * ms;
 constexpr Nanos rosterAfter = 400 * ms;
-constexpr Nanos contactEvery = 50 * ms;
 
 std::uint64_t drawnLife() {
     std::random_device draw;
@@ -38,8 +37,8 @@
 struct Prompter {
     Prompter(const playbill::Boot& boot_, bool metrics)
         : boot(boot_),
-          keeper(
-              io, boot, [this](const std::string& key) { learnt(key); }, Keeper::onDisk(boot_)),
+          keeper(io, boot, {[this](const std::string& key) { learnt(key); }, [this] { moved(); }},
+                 Keeper::onDisk(boot_)),
           control(listen(io, boot.control)),
           peers(listen(io, boot.internal(boot.ip))),
           duties(
@@ -121,6 +120,13 @@
         roster();
     }
 
+    // Other members, or contact has come or gone: new ones are dialled, and foyers are greeted again.
+    void moved() {
+        for (const auto& member : keeper.members()) dial(member);
+        for (const auto& [_, foyer] : foyers) foyer.link->send(greet(*foyer.link));
+        tellAll(board.digest());
+    }
+
     void closed(Link& link) {
         if (link.kind == "prompter") {
             const auto dialer = dialers.find(link.peer);
@@ -215,16 +221,6 @@
                 if (auto link = dialer->link()) link->send(packed);
     }
 
-    // Foyers are told at once when contact with a majority is lost or had again.
-    Task<> tellContact() {
-        for (bool was = false;;) {
-            co_await sleep(contactEvery);
-            if (std::exchange(was, keeper.inContact()) == was) continue;
-            log(was ? "contact" : "contact_lost", {{"step", "register"}});
-            tellAll(board.digest());
-        }
-    }
-
     // ---- Duties, each by one prompter. ----
 
     std::set<std::string> hears() const {
@@ -246,7 +242,7 @@
     Json status() const {
         Json told{
             {"node", boot.name},
-            {"blank", keeper.blank()},
+            {"blank", !keeper.votes()},
             {"members", keeper.members().size()},
             {"reached", keeper.reached()},
             {"register", keeper.describe()},
@@ -302,10 +298,9 @@
         for (const auto& member : keeper.members()) dial(member);
         start(io, "links", serveLinks(io, peers, owner));
         start(io, "control", operatorCalls.serve(control));
-        start(io, "register", keeper.tend());
+        start(io, "register", keeper.maintain());
         start(io, "register", readFirst());
         start(io, "known", tellKnown());
-        start(io, "contact", tellContact());
         start(io, "duties", duties.run());
         start(io, "list", list.poll());
         start(io, "rollouts", rollouts.steer());
--- a/src/register/register.hpp
+++ b/src/register/register.hpp
@@ -1,11 +1,16 @@
 // One value for each key on a majority of disks: written to a majority, read from a majority, the highest
-// ballot wins. No log, no leader. docs/design/register.md tells why it holds.
+// ballot wins. No log, no leader. Who the majority is of is a value too: an epoch, changed by agreement of
+// its own members and sealed before the next one opens. docs/design/control.md tells why it holds.
 //
 // Pure: no clock, no chance, no I/O. The host moves messages (any may be lost, doubled, late or out of order)
-// and keeps cells on disk. Invariants, each checked by the explorer in tests/register:
-//   - Lasting: what a Write or a Read has ended with is what every later one ends with or builds on;
+// and keeps cells and standing on disk. Invariants, each checked by the explorer in
+// tests/gateway/register.cpp:
+//   - Lasting: what a write or a read has ended with is what every later one ends with or builds on;
 //   - OneBody: a ballot has one value for good;
-//   - NoBlank: a copy whose disk was lost is counted nowhere until it has rejoined.
+//   - OneEpochOpen: no two sets of members are open under one number;
+//   - NoOldEpochWrites: nothing ends in an epoch once its successor is open;
+//   - NoForgetfulVote: a disk that was lost, or put back from an older image, never answers as before;
+//   - FoundedOnce: the first epoch is one, whatever is killed on the way.
 #pragma once
 
 #include <compare>
@@ -32,46 +37,91 @@
     std::string value;
     bool operator==(const Cell&) const = default;
 };
+using Cells = std::map<std::string, Cell>;
+
+// One copy of the register: a machine with the disk that it has now. Another disk is another member.
+struct Member {
+    std::string address, disk, zone, region;
+    auto operator<=>(const Member&) const = default;
+};
+
+// Who counts, from one change of the members to the next. Number 0 is the founding: its members are the seeds
+// as all were told them, by address alone (disk ""), and all that they ever decide is epoch 1.
+struct Epoch {
+    std::uint64_t number = 0;
+    std::vector<Member> members;  // in order of address
+    std::size_t majority() const { return members.size() / 2 + 1; }
+    // Its place among the members; none where it isn't one.
+    std::optional<std::uint32_t> find(const std::string& address, const std::string& disk) const;
+    bool operator==(const Epoch&) const = default;
+};
+
+// What one disk knows for good of the epochs.
+struct Standing {
+    Epoch epoch;                // newest that it was told of
+    bool open = false;          // a majority of its members holds all values
+    std::optional<Epoch> next;  // the decided successor: `epoch` is sealed here, nothing of it is answered
+    std::optional<Epoch>
+        before;  // the epoch that `epoch` follows, until it is open: who can finish needs both
+    bool operator==(const Standing&) const = default;
+};
+
+// The key under which the members of one epoch decide the next; it has no meaning in any other.
+std::string successorKey(const Epoch& of);
 
 struct Request {
-    enum class Kind : std::uint8_t { look, prepare, accept };
+    enum class Kind : std::uint8_t { look, prepare, accept, seal, install };
     Kind kind = Kind::look;
+    std::uint64_t epoch = 0;
     std::string key;
     Ballot ballot;
     std::string value;
     Ballot held;  // of a value that the asker has: an equal one need not be told again
+    std::map<std::string, Ballot> holds;  // seal: the same, by key
+    std::optional<Epoch> to, from;        // seal, install: the successor, and what it follows
+    bool open = false;                    // install: it is open
 };
 
-// The cell as it is after the request; `taken` is false where a higher promise stood against it. A blank copy
-// answers `blank`, and is no part of any majority.
+// The cell as it is after the request; `taken` is false where a higher promise stood against it. A copy that
+// is no member of the request's epoch, or has sealed it, `refused`: it is no part of any majority.
 struct Reply {
-    bool blank = false, taken = false;
+    bool refused = false, taken = false;
     Cell cell;
-    bool spared = false;  // the cell's value is the asker's own, and left out
+    bool spared = false;       // the cell's value is the asker's own, and left out
+    Cells cells;               // of a seal: all
+    std::uint64_t epoch = 0;   // the copy's own, with `refused`
+    bool sealed = false;       // and whether it is sealed
+    std::uint64_t writes = 0;  // how often the copy's disk was written: a lower number later is a lost disk
+};
+
+// What must be on disk before a reply is sent.
+struct Update {
+    Cells cells;
+    std::optional<Standing> standing;
 };
 
 // One disk's copy. The host asks what a request would change, has the disk sync it, and only then puts it and
 // sends the reply: nothing is told that a loss of power could take back.
 class Copy {
   public:
-    // A copy that starts blank says so until rejoined.
-    explicit Copy(bool blank) : blank_(blank) {}
-
-    bool blank() const { return blank_; }
-    // The reply; `change` is set where the cell must be on disk before it is sent.
-    Reply weigh(const Request& request, std::optional<Cell>& change) const;
-    void put(const std::string& key, Cell cell) { cells_[key] = std::move(cell); }
-    const std::map<std::string, Cell>& cells() const { return cells_; }
+    Copy() = default;
+    // On the disk with this identity, at this address.
+    Copy(std::string address, std::string disk) : address_(std::move(address)), disk_(std::move(disk)) {}
+
+    const std::string& disk() const { return disk_; }
+    bool counts() const { return !standing_.next && member(standing_.epoch); }
+    bool member(const Epoch& epoch) const;
+    // The reply; `update` is set where something must be on disk before it is sent.
+    Reply weigh(const Request& request, std::optional<Update>& update) const;
+    void put(const Update& update);
+    const Cells& cells() const { return cells_; }
     const Cell& cell(const std::string& key) const;
-
-    // What a blank copy takes from the others' cells; it is to be put (on disk first) and counts after
-    // filled().
-    static void highest(std::map<std::string, Cell>& into, const std::map<std::string, Cell>& from);
-    void filled() { blank_ = false; }
+    const Standing& standing() const { return standing_; }
 
   private:
-    std::map<std::string, Cell> cells_;
-    bool blank_;
+    std::string address_, disk_;
+    Standing standing_;
+    Cells cells_;
 };
 
 // From what is in force to what shall be; the same value: nothing to change, but let it be surely in force.
@@ -84,34 +134,68 @@
   public:
     enum class Step : std::uint8_t { look, prepare, accept, done, lost };
 
-    // `held`: a value that the host knows with its ballot, if any, so that copies need not send it.
-    Run(std::string key, std::size_t members, std::uint32_t writer, std::uint64_t above, Change change,
-        bool lookFirst, Cell held = {});
+    // `held`: a value that the host knows with its ballot, if any, so that copies need not send it. `base`:
+    // what an earlier epoch has left, counted as if a member had told it.
+    Run(std::string key, const Epoch& epoch, std::uint32_t writer, std::uint64_t above, Change change,
+        bool lookFirst, Cell held = {}, Cell base = {});
 
     Step step() const { return step_; }
     Request request() const;
-    // True where the step has moved.
+    // From the member in this place of the epoch. True where the step has moved.
     bool on(std::uint32_t member, Step answered, const Reply& reply);
 
     const std::string& value() const { return value_; }  // when done
     Ballot ballot() const { return ballot_; }            // of the value, when done
     std::uint64_t above() const { return above_; }       // highest round seen
+    std::uint64_t epoch() const { return epoch_; }
 
   private:
     void move(Step step);
 
     std::string key_;
-    std::size_t members_;
+    std::uint64_t epoch_;
+    std::size_t majority_;
     std::uint32_t writer_;
     std::uint64_t above_;
     Change change_;
     Step step_;
     Ballot ballot_;
     std::string value_;
-    Cell held_, best_;
-    std::set<std::uint32_t> heard_, taken_;
+    Cell held_, base_, best_;
+    std::set<std::uint32_t> heard_, taken_, refused_;
     std::optional<Cell> agreed_;
     bool agree_ = true;
 };
 
+// From one epoch to the successor that its members have decided: seal a majority of the old, put the highest
+// of every key on a majority of the new, open the new on a majority of its disks. Any number of hosts may do
+// it at once, in part, or again: each step keeps what another has done.
+class Succession {
+  public:
+    enum class Step : std::uint8_t { seal, transfer, open, done, lost };
+
+    // `held`: what the host knows, so that copies need not send it.
+    Succession(Epoch from, Epoch to, std::uint32_t writer, Cells held = {});
+
+    Step step() const { return step_; }
+    // To be sent to members of `from` (seal) or of `to`; a transfer's carry their key.
+    std::vector<Request> requests() const;
+    const Epoch& asked() const { return step_ == Step::seal ? from_ : to_; }
+    // Of the member in this place of asked(), to a request of this step, key and run's step. True where there
+    // are other requests than before.
+    bool on(std::uint32_t member, Step answered, const std::string& key, Run::Step inRun, const Reply& reply);
+    const Epoch& from() const { return from_; }
+    const Epoch& to() const { return to_; }
+    const std::map<std::string, Run>& runs() const { return runs_; }
+
+  private:
+    void transfer();
+    Epoch from_, to_;
+    std::uint32_t writer_;
+    Cells held_, best_;
+    Step step_ = Step::seal;
+    std::set<std::uint32_t> taken_;
+    std::map<std::string, Run> runs_;
+};
+
 }  // namespace lichenlanding::reg
--- a/tests/gateway/catching_up.cpp
+++ b/tests/gateway/catching_up.cpp
@@ -38,7 +38,9 @@
     }
     void write(const std::map<std::string, reg::Cell>& cells,
                const std::map<std::string, std::string>& notes) override {
-        for (const auto& [key, cell] : cells) disk.cells[key] = cell;
+        for (const auto& [key, cell] : cells)
+            if (cell == reg::Cell{}) disk.cells.erase(key);
+            else disk.cells[key] = cell;
         for (const auto& [name, note] : notes) disk.notes[name] = note;
     }
     Disk& disk;
@@ -48,9 +50,13 @@
     Member(asio::io_context& io, int number, int port, Disk& disk, bool bootstrap) {
         boot.name = boot.ip = "127.0.4." + std::to_string(number);
         boot.internalPorts = {port}, boot.machinesLost = 1, boot.bootstrap = bootstrap;
-        keeper = std::make_unique<Keeper>(
-            io, boot, [](const std::string&) {},
-            [&disk](bool) { return std::make_unique<MemoryBook>(disk); });
+        boot.quorumMember = true;
+        for (int seed = 1; seed <= 3; ++seed) boot.seeds.push_back("127.0.4." + std::to_string(seed) + ":1");
+        keeper = std::make_unique<Keeper>(io, boot, Keeper::Owner{[](const std::string&) {}, [] {}},
+                                          [&disk](bool anew) {
+                                              if (anew) disk = {};
+                                              return std::make_unique<MemoryBook>(disk);
+                                          });
         owner = std::make_shared<Link::Owner>();
         owner->greet = [this](Link&) {
             auto hello = keeper->greeting();
@@ -58,7 +64,8 @@
             return hello;
         };
         owner->heard = [this](Link& link, const Json& message) {
-            if (counted(link)) heard.add(message);
+            // Pings say that one is there, whatever there is to catch up with.
+            if (counted(link) && message.at("t") != "ping" && message.at("t") != "pong") heard.add(message);
             if (message.at("t") != "hello") return void(keeper->heard(link, message));
             message.at("at").get_to(link.peer);
             const auto dialer = dialers.find(link.peer);
@@ -66,11 +73,14 @@
                 keeper->joined(link.peer, link.shared_from_this());
             keeper->greeted(message);
         };
-        owner->closed = [this](Link& link) { keeper->parted(link.peer); };
+        owner->closed = [this](Link& link) {
+            const auto dialer = dialers.find(link.peer);
+            if (dialer != dialers.end() && !dialer->second->link()) keeper->parted(link.peer);
+        };
         door = std::make_unique<tcp::acceptor>(listen(io, at()));
         keeper->open();
         start(io, "links", serveLinks(io, *door, owner));
-        start(io, "tend", keeper->tend());
+        start(io, "maintain", keeper->maintain());
         for (int other = 1; other <= 3; ++other) {
             if (other == number) continue;
             const auto address = boot.internal("127.0.4." + std::to_string(other));
@@ -215,7 +225,7 @@
                 machines.until([&] {
                     return std::all_of(
                         machines.members.begin(), machines.members.end(), [](const auto& member) {
-                            return member.second->keeper->formed() && !member.second->keeper->blank();
+                            return member.second->keeper->inContact() && member.second->keeper->votes();
                         });
                 });
                 machines.change(1, valueOf(0));
@@ -248,7 +258,7 @@
                 machines.until([&] {
                     return machines.members[3]->keeper->known(prompter::configurationKey).value ==
                                valueOf(count) &&
-                           !machines.members[3]->keeper->blank();
+                           machines.members[3]->keeper->votes() && machines.members[3]->keeper->inContact();
                 });
                 const auto after = all();
                 costs.push_back({after.messages - before.messages, after.bytes - before.bytes});
--- /dev/null
+++ b/tests/gateway/keeper_stage.hpp
@@ -0,0 +1,227 @@
+// Keepers of the register over real links in one thread, each on a scripted disk that hangs, is full, is lost
+// or comes back as it once was. Nothing waits for time to pass: the loop runs until something is so.
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+
+#include "prompter/keeper.hpp"
+#include "transcript.hpp"
+
+namespace keeper_stage {
+
+using namespace lichenlanding;
+using namespace lichenlanding::wings;
+using prompter::Keeper;
+
+struct Disk {
+    std::mutex lock;
+    std::condition_variable turned;
+    bool hangs = false, full = false;
+    int writes = 0, waiting = 0;
+    std::map<std::string, reg::Cell> cells;
+    std::map<std::string, std::string> notes;
+
+    void set(bool& what, bool value) {
+        std::lock_guard hold(lock);
+        what = value, turned.notify_all();
+    }
+    int held() {
+        std::lock_guard hold(lock);
+        return waiting;
+    }
+    int written() {
+        std::lock_guard hold(lock);
+        return writes;
+    }
+    // As it is now, and put back as it was.
+    std::pair<std::map<std::string, reg::Cell>, std::map<std::string, std::string>> image() {
+        std::lock_guard hold(lock);
+        return {cells, notes};
+    }
+    void restore(std::pair<std::map<std::string, reg::Cell>, std::map<std::string, std::string>> old) {
+        std::lock_guard hold(lock);
+        cells = std::move(old.first), notes = std::move(old.second);
+    }
+};
+
+struct ScriptedBook final : promptbook::Book {
+    explicit ScriptedBook(Disk& disk_) : disk(disk_) {}
+    std::map<std::string, reg::Cell> cells() const override {
+        std::lock_guard hold(disk.lock);
+        return disk.cells;
+    }
+    std::string note(const std::string& name) const override {
+        std::lock_guard hold(disk.lock);
+        const auto at = disk.notes.find(name);
+        return at == disk.notes.end() ? "" : at->second;
+    }
+    void write(const std::map<std::string, reg::Cell>& cells,
+               const std::map<std::string, std::string>& notes) override {
+        std::unique_lock hold(disk.lock);
+        ++disk.waiting;
+        disk.turned.wait(hold, [&] { return !disk.hangs; });
+        --disk.waiting;
+        if (disk.full) throw promptbook::DiskError("scripted: no space left");
+        ++disk.writes;
+        for (const auto& [key, cell] : cells)
+            if (cell == reg::Cell{}) disk.cells.erase(key);
+            else disk.cells[key] = cell;
+        for (const auto& [name, note] : notes) disk.notes[name] = note;
+    }
+    Disk& disk;
+};
+
+// One life of one prompter.
+struct Member {
+    Member(asio::io_context& io_, playbill::Boot boot_, Disk& disk_)
+        : io(io_), disk(disk_), boot(std::move(boot_)) {
+        const Keeper::Owner of{[this](const std::string& key) { told.push_back(keeper->known(key).value); },
+                               [this] {
+                                   for (const auto& address : keeper->members()) dial(address);
+                               }};
+        keeper = std::make_unique<Keeper>(io, boot, of, [this](bool anew) {
+            if (anew) disk.restore({});
+            return std::make_unique<ScriptedBook>(disk);
+        });
+        owner = std::make_shared<Link::Owner>();
+        owner->greet = [this](Link& link) {
+            open.push_back(link.weak_from_this());
+            auto hello = keeper->greeting();
+            hello.update({{"t", "hello"}, {"at", at()}});
+            return hello;
+        };
+        owner->heard = [this](Link& link, const Json& message) {
+            if (cut || gone) return;  // a cut says nothing: links stay up, words are lost
+            if (message.at("t") != "hello") return void(keeper->heard(link, message));
+            message.at("at").get_to(link.peer);
+            const auto dialer = dialers.find(link.peer);
+            if (dialer != dialers.end() && dialer->second->link().get() == &link)
+                keeper->joined(link.peer, link.shared_from_this());
+            keeper->greeted(message);
+            for (const auto& address : message.at("members")) dial(address.get<std::string>());
+        };
+        owner->closed = [this](Link& link) {
+            const auto dialer = dialers.find(link.peer);
+            if (dialer != dialers.end() && !dialer->second->link()) keeper->parted(link.peer);
+        };
+        door = std::make_unique<tcp::acceptor>(listen(io, at()));
+        keeper->open();
+        start(io, "links", serveLinks(io, *door, owner));
+        start(io, "maintain", keeper->maintain());
+        for (const auto& seed : boot.seeds) dial(boot.internal(hostOf(seed)));
+    }
+    std::string at() const { return boot.internal(boot.ip); }
+    void dial(const std::string& address) {
+        if (gone || address == at() || dialers.contains(address)) return;
+        dialers[address] = std::make_shared<Dialer>(io, address, owner);
+        dialers[address]->go();
+    }
+    void kill() {
+        gone = true;
+        Code ignored;
+        door->close(ignored);
+        for (auto& [_, dialer] : dialers) dialer->stop();
+        for (auto& link : open)
+            if (auto held = link.lock()) held->close();
+    }
+
+    asio::io_context& io;
+    Disk& disk;
+    playbill::Boot boot;
+    bool cut = false, gone = false;
+    std::unique_ptr<Keeper> keeper;
+    std::shared_ptr<Link::Owner> owner;
+    std::map<std::string, std::shared_ptr<Dialer>> dialers;
+    std::vector<std::weak_ptr<Link>> open;
+    std::unique_ptr<tcp::acceptor> door;
+    std::vector<std::string> told;
+};
+
+// So many machines, the first three of them seeds; some are started.
+struct Cast {
+    explicit Cast(int machines, int started = -1) : disks(static_cast<std::size_t>(machines)) {
+        {
+            tcp::acceptor free(listen(io, "127.0.0.1:0"));
+            port = free.local_endpoint().port();
+        }
+        members.resize(static_cast<std::size_t>(machines));
+        zone = [](int at) { return "z" + std::to_string(at % 3); };
+        tolerance = [](playbill::Boot& boot) { boot.machinesLost = 1; };
+        for (int at = 0; at < started; ++at) launch(at, true);
+    }
+    ~Cast() {
+        for (auto& disk : disks) disk.set(disk.hangs, false);
+        io.stop();
+    }
+    void launch(int at, bool bootstrap) {
+        playbill::Boot boot;
+        boot.ip = "127.0.3." + std::to_string(at + 1), boot.name = boot.ip, boot.internalPorts = {port};
+        boot.zone = zone(at), boot.region = "r", boot.bootstrap = bootstrap, boot.quorumMember = true;
+        boot.controlReplace = 700 * ms;
+        tolerance(boot);
+        for (int seed = 0; seed < 3 && seed < static_cast<int>(members.size()); ++seed)
+            boot.seeds.push_back("127.0.3." + std::to_string(seed + 1) + ":1");
+        if (members[at]) ended.push_back(std::move(members[at]));
+        members[at] = std::make_unique<Member>(io, std::move(boot), disks[at]);
+    }
+    template <typename Done>
+    void until(const char* what, Done done) {
+        // Given up after so long, with what each of them knows then.
+        for (const Nanos last = now() + 20 * second; !done();) {
+            CPPUNIT_ASSERT_MESSAGE(std::string("nothing happens any more: ") + what,
+                                   io.run_one_for(std::chrono::seconds(8)) > 0);
+            if (now() < last) continue;
+            std::string told = what;
+            for (const auto& member : members)
+                if (member && !member->gone)
+                    told += "\n" + member->at() + " " + member->keeper->describe().dump();
+            CPPUNIT_FAIL(told);
+        }
+    }
+    Keeper& keeper(int at) { return *members[at]->keeper; }
+    bool inContact(std::vector<int> all) {
+        return std::all_of(all.begin(), all.end(), [&](int at) { return keeper(at).inContact(); });
+    }
+    // What a write of `value` at this member ends with; "-": no majority in time.
+    std::string write(int at, const std::string& value, Nanos within = 5 * second) {
+        const reg::Change put = [value](const std::string&) { return value; };
+        return change(at, put, within);
+    }
+    std::string read(int at) {
+        return change(
+            at, [](const std::string& held) { return held; }, second);
+    }
+    std::string change(int at, const reg::Change& change, Nanos within) {
+        std::optional<std::string> result;
+        bool done = false;
+        start(io, "change",
+              [](Keeper& keeper, reg::Change change_, Nanos within_, std::optional<std::string>& result_,
+                 bool& done_) -> Task<> {
+                  result_ = co_await keeper.change(prompter::configurationKey, change_, within_);
+                  done_ = true;
+              }(keeper(at), change, within, result, done));
+        until("a change ends", [&] { return done; });
+        return result.value_or("-");
+    }
+    // The registers that there are: each set of members that some prompter holds for the newest.
+    std::set<std::string> registers() {
+        std::set<std::string> all;
+        for (const auto& member : members) {
+            if (!member || member->gone) continue;
+            std::string text;
+            for (const auto& address : member->keeper->members()) text += address + " ";
+            all.insert(text);
+        }
+        return all;
+    }
+
+    asio::io_context io{1};
+    int port = 0;
+    std::function<std::string(int)> zone;
+    std::function<void(playbill::Boot&)> tolerance;
+    std::deque<Disk> disks;
+    std::vector<std::unique_ptr<Member>> members, ended;  // ended: lives that are over, kept for their tasks
+};
+
+}  // namespace keeper_stage
--- a/tests/gateway/main.cpp
+++ b/tests/gateway/main.cpp
@@ -8,14 +8,16 @@
 #include <csignal>
 #include <iostream>
 
-int main() {
+int main(int count, char** words) {
     std::signal(SIGPIPE, SIG_IGN);
     CppUnit::TestResult results;
     CppUnit::TestResultCollector collected;
     CppUnit::BriefTestProgressListener progress;
     results.addListener(&collected), results.addListener(&progress);
     CppUnit::TestRunner runner;
-    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    auto* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+    runner.addTest(count > 1 ? all->findTest(words[1])
+                             : all);  // one suite or test by its name, such as RegisterTest::seeded
     runner.run(results);
     CppUnit::CompilerOutputter(&collected, std::cerr).write();
     std::cout << collected.runTests() - collected.testFailuresTotal() << " passed, "
--- /dev/null
+++ b/tests/gateway/membership.cpp
@@ -0,0 +1,296 @@
+// Who keeps the register: founded once, changed by agreement, through kills at each step, lost disks, disks
+// put back from an old image, cuts, and machines that leave. Real keepers and links, scripted disks, no
+// bench.
+#include "membership/membership.hpp"
+
+#include "keeper_stage.hpp"
+
+using namespace keeper_stage;
+using membership::Candidate;
+using membership::Tolerance;
+
+namespace {
+
+reg::Member machine(const std::string& name, const std::string& zone, const std::string& region = "r") {
+    return {name, "d-" + name, zone, region};
+}
+std::vector<Candidate> all(const std::vector<reg::Member>& members) {
+    std::vector<Candidate> told;
+    for (const auto& member : members) told.push_back({member, true, true});
+    return told;
+}
+std::string names(const std::vector<reg::Member>& members) {
+    std::string text;
+    for (const auto& member : members) text += (text.empty() ? "" : " ") + member.address;
+    return text;
+}
+
+}  // namespace
+
+class MembershipTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(MembershipTest);
+    CPPUNIT_TEST(howManyAndWhich);
+    CPPUNIT_TEST(seats);
+    CPPUNIT_TEST(oneRegisterOfFive);
+    CPPUNIT_TEST(oneRegisterForZones);
+    CPPUNIT_TEST(foundedThroughKills);
+    CPPUNIT_TEST(seedsWithNothing);
+    CPPUNIT_TEST(cutOff);
+    CPPUNIT_TEST(replacedAndLostAgain);
+    CPPUNIT_TEST(oldImage);
+    CPPUNIT_TEST(leaves);
+    CPPUNIT_TEST(bookOfBefore);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void howManyAndWhich() {
+        const std::vector<reg::Member> five{machine("a", "1"), machine("b", "1"), machine("c", "2"),
+                                            machine("d", "2"), machine("e", "3")};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), membership::plan({}, all(five), {1, 0, 0}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), membership::plan({}, all(five), {2, 0, 0}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership::plan({}, all(five), {0, 0, 0}).size());
+        // One zone: three members, one in each.
+        const auto spread = membership::plan({}, all(five), {0, 1, 0});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), spread.size());
+        CPPUNIT_ASSERT(membership::notBorne(spread, {1, 1, 0}).empty());
+        // Two zones of two can't bear the loss of one of them; machines go first, and what isn't borne is
+        // said.
+        const std::vector<reg::Member> two{machine("a", "1"), machine("b", "1"), machine("c", "2"),
+                                           machine("d", "2")};
+        const auto chosen = membership::plan({}, all(two), {1, 1, 0});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), chosen.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("1 zone"), membership::notBorne(chosen, {1, 1, 0}).front());
+        // Regions: five over three of them bear one region of two machines.
+        const std::vector<reg::Member> wide{machine("a", "1", "x"), machine("b", "2", "x"),
+                                            machine("c", "3", "y"), machine("d", "4", "y"),
+                                            machine("e", "5", "z"), machine("f", "6", "z")};
+        const auto regions = membership::plan({}, all(wide), {2, 1, 1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), regions.size());
+        CPPUNIT_ASSERT(membership::notBorne(regions, {2, 1, 1}).empty());
+        CPPUNIT_ASSERT(!membership::notBorne(five, {2, 2, 0}).empty());
+    }
+
+    // A seat goes from one that is absent to one that is whole; it is never given up for nothing, nor moved
+    // between machines that are both there.
+    void seats() {
+        const auto a = machine("a", "1"), b = machine("b", "2"), c = machine("c", "3"), d = machine("d", "3"),
+                   again = reg::Member{"c", "d-new", "3", "r"};
+        const Tolerance one{1, 0, 0};
+        const std::vector<reg::Member> now{a, b, c};
+        CPPUNIT_ASSERT_EQUAL(std::string("a b c"), names(membership::plan(now, all({a, b, c, d}), one)));
+        CPPUNIT_ASSERT_EQUAL(std::string("a b d"), names(membership::plan(now, all({a, b, d}), one)));
+        CPPUNIT_ASSERT_EQUAL(std::string("a b c"), names(membership::plan(now, all({a, b}), one)));
+        CPPUNIT_ASSERT(membership::plan(now, all({a, b}), one) == now);
+        // Not whole: it waits.
+        auto half = all({a, b, d});
+        half[2].whole = false;
+        CPPUNIT_ASSERT(membership::plan(now, half, one) == now);
+        // The same machine with another disk is another member.
+        CPPUNIT_ASSERT(membership::plan(now, all({a, b, again}), one).back() == again);
+        // Two absent of three: there is no majority to decide anything, and none is pretended.
+        CPPUNIT_ASSERT(membership::plan(now, all({a}), one) == now);
+        // One that is about to leave is absent.
+        auto leaving = all({a, b, c, d});
+        leaving[2].present = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("a b d"), names(membership::plan(now, leaving, one)));
+    }
+
+    // Five machines, one to be lost: one register of three, whoever hears of whom first.
+    void oneRegisterOfFive() {
+        Cast cast(5);
+        for (const int at : {3, 0, 4, 2, 1}) cast.launch(at, true);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3, 4}); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cast.registers().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), cast.keeper(0).members().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(4, "one"));
+        for (int at = 0; at < 5; ++at) CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(at));
+        // Those that stand by count for nothing.
+        int votes = 0;
+        for (int at = 0; at < 5; ++at) votes += cast.keeper(at).votes();
+        CPPUNIT_ASSERT_EQUAL(3, votes);
+    }
+
+    // No machine but a zone to be lost: still one register, not one for each.
+    void oneRegisterForZones() {
+        Cast cast(3);
+        cast.tolerance = [](playbill::Boot& boot) { boot.machinesLost = 0, boot.zonesLost = 1; };
+        for (int at = 0; at < 3; ++at) cast.launch(at, true);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cast.registers().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), cast.keeper(0).members().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        cast.members[0]->kill();
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(2, "two"));
+    }
+
+    // A founder is killed after each of its first writes to disk, and comes back as one that isn't told it is
+    // the first start: there is one register all the same, and its epoch is agreed.
+    void foundedThroughKills() {
+        for (int victim = 0; victim < 3; ++victim)
+            for (int writes = 0; writes < 6; ++writes) {
+                Cast cast(3, 3);
+                cast.until("as many writes", [&] {
+                    return cast.disks[victim].written() >= writes || cast.keeper(victim).inContact();
+                });
+                cast.members[victim]->kill();
+                cast.launch(victim, false);
+                cast.until("all are in contact again", [&] { return cast.inContact({0, 1, 2}); });
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), cast.registers().size());
+                CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(victim, "one"));
+                CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read((victim + 1) % 3));
+            }
+        // All of them, once what makes them founders is on their disks.
+        Cast cast(3, 3);
+        cast.until("each has written", [&] {
+            return std::all_of(cast.disks.begin(), cast.disks.end(),
+                               [](Disk& disk) { return disk.written() >= 1; });
+        });
+        for (auto& member : cast.members) member->kill();
+        for (int at = 0; at < 3; ++at) cast.launch(at, false);
+        cast.until("all are in contact again", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cast.registers().size());
+    }
+
+    // Two of three seeds with nothing on their disks and no word that it is the first start: nothing is
+    // guessed.
+    void seedsWithNothing() {
+        Cast cast(3);
+        cast.launch(0, true), cast.launch(1, false), cast.launch(2, false);
+        int pings = 0;
+        cast.until("they have met and talked",
+                   [&] { return ++pings > 3000 && cast.keeper(0).reached() == 2; });
+        for (int at = 0; at < 3; ++at) CPPUNIT_ASSERT(!cast.keeper(at).formed());
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), cast.write(0, "one", 3600 * second));
+    }
+
+    // Cut off: a write and a read end at once, whatever time they have; the others go on; what is read after
+    // the cut is what they did meanwhile.
+    void cutOff() {
+        Cast cast(3, 3);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        cast.members[0]->cut = true;
+        cast.until("it knows", [&] { return !cast.keeper(0).inContact(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), cast.write(0, "lost", 3600 * second));
+        CPPUNIT_ASSERT_EQUAL(std::string("-"),
+                             cast.change(
+                                 0, [](const std::string& held) { return held; }, 3600 * second));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(1, "two"));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.keeper(0).known(prompter::configurationKey).value);
+        cast.members[0]->cut = false;
+        cast.until("contact is back", [&] { return cast.keeper(0).inContact(); });
+        // In contact means read from a majority since.
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.keeper(0).known(prompter::configurationKey).value);
+    }
+
+    // A member dies and one that stands by takes its seat, whole; then a second dies, then the last of the
+    // first three: each loss alone, and what was written first is still read.
+    void replacedAndLostAgain() {
+        Cast cast(6, 6);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3, 4, 5}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        const auto first = cast.keeper(0).members();
+        for (int at = 0; at < 6; ++at) {
+            if (!first.contains(cast.members[at]->at())) continue;
+            const auto epoch = cast.keeper(at).epoch().number;
+            const auto gone = cast.members[at]->at();
+            cast.members[at]->kill();
+            int witness = -1;
+            for (int other = 0; other < 6; ++other)
+                if (!cast.members[other]->gone) witness = other;
+            cast.until("its seat is taken", [&] {
+                return cast.keeper(witness).epoch().number > epoch &&
+                       !cast.keeper(witness).members().contains(gone) && cast.keeper(witness).inContact();
+            });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(3), cast.keeper(witness).members().size());
+            CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(witness));
+        }
+        cast.until("all know the same members", [&] { return cast.registers().size() == 1; });
+        // Two of the first come back with their disks: they stand by, and are told so.
+        for (int at = 0; at < 2; ++at)
+            if (cast.members[at]->gone) {
+                cast.launch(at, false);
+                cast.until("it knows its place", [&] {
+                    return cast.keeper(at).inContact() && !cast.keeper(at).votes() &&
+                           !cast.keeper(at).members().contains(cast.members[at]->at());
+                });
+                CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(at));
+            }
+    }
+
+    // A disk is put back as it was before it had answered: it counts as lost, and joins as another.
+    void oldImage() {
+        Cast cast(3, 3);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        const auto image = cast.disks[1].image();
+        for (const auto* value : {"two", "three", "four"})
+            CPPUNIT_ASSERT_EQUAL(std::string(value), cast.write(0, value));
+        cast.until("it has them",
+                   [&] { return cast.disks[1].image().first[prompter::configurationKey].value == "four"; });
+        const auto disk = image.second.at("disk");
+        cast.members[1]->kill();
+        cast.disks[1].restore(image);
+        cast.launch(1, false);
+        cast.until("it votes again", [&] { return cast.keeper(1).votes() && cast.keeper(1).inContact(); });
+        CPPUNIT_ASSERT(cast.disks[1].image().second.at("disk") != disk);
+        cast.until("the others know",
+                   [&] { return !cast.keeper(0).epoch().find(cast.members[1]->at(), disk); });
+        CPPUNIT_ASSERT_EQUAL(std::string("four"), cast.read(1));
+    }
+
+    // One that is told to go hands its seat to one that stands by, and then is no member; where none stands
+    // by it keeps the seat, and the only copy is never left out.
+    void leaves() {
+        Cast cast(4, 4);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        int leaver = 0;
+        while (!cast.keeper(leaver).votes()) ++leaver;
+        const auto leave = [&](Cast& of, int at) {
+            bool left = false;
+            start(of.io, "leave", [](Keeper& keeper, bool& left_) -> Task<> {
+                co_await keeper.leave();
+                left_ = true;
+            }(of.keeper(at), left));
+            of.until("it has left", [&] { return left; });
+        };
+        leave(cast, leaver);
+        CPPUNIT_ASSERT(!cast.keeper(leaver).members().contains(cast.members[leaver]->at()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), cast.keeper(leaver).members().size());
+        cast.members[leaver]->kill();
+        const int other = (leaver + 1) % 4;
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(other));
+        leave(cast, other);  // nobody stands by now
+        CPPUNIT_ASSERT(cast.keeper(other).members().contains(cast.members[other]->at()));
+        Cast alone(1);
+        alone.tolerance = [](playbill::Boot&) {};
+        alone.launch(0, true);
+        alone.until("it is in contact with itself", [&] { return alone.inContact({0}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), alone.write(0, "one"));
+        leave(alone, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.keeper(0).members().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), alone.read(0));
+    }
+
+    // Books from before there were epochs: their members are the first epoch.
+    void bookOfBefore() {
+        Cast cast(3);
+        std::string members;
+        for (int at = 0; at < 3; ++at)
+            members +=
+                (at ? "," : "") + ("127.0.3." + std::to_string(at + 1)) + ":" + std::to_string(cast.port);
+        for (auto& disk : cast.disks) {
+            disk.notes["members"] = members;
+            disk.cells[prompter::configurationKey] = {{3, 7}, {3, 7}, "kept"};
+        }
+        for (int at = 0; at < 3; ++at) cast.launch(at, false);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), cast.read(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(1, "one"));
+        cast.until("zones are known", [&] { return cast.keeper(2).epoch().members[0].zone == "z0"; });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(2));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
--- a/tests/gateway/orders.cpp
+++ b/tests/gateway/orders.cpp
@@ -137,14 +137,17 @@
     static constexpr std::size_t members = 3;
 
     explicit Ballots(std::uint32_t seed, Bug bug_) : draw(seed), bug(bug_), orders(two) {
-        for (std::size_t at = 0; at < members; ++at) copies.emplace_back(false);
+        for (std::size_t at = 0; at < members; ++at)
+            epoch.members.push_back({std::string(1, static_cast<char>('a' + at)), "disk", "", ""});
+        for (const auto& member : epoch.members)
+            copies.emplace_back(member.address, member.disk).put({{}, reg::Standing{epoch, true, {}, {}}});
         begin(0, 0), begin(1, 0);
     }
     void begin(std::size_t which, std::uint64_t above) {
         const auto one = orders[which];
         const auto number = static_cast<std::uint32_t>(runs.size() + 1);
         runs.emplace_back(
-            "configuration", members, number, above,
+            "configuration", epoch, number, above,
             [one](const std::string& held) { return change(held, one); }, above == 0);
         sent.push_back(which);
         send(runs.size() - 1);
@@ -160,9 +163,9 @@
         messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(at));
         if (lost == message.copy || draw() % 12 == 0) return;
         if (!message.reply) {
-            std::optional<reg::Cell> update;
+            std::optional<reg::Update> update;
             auto reply = copies[message.copy].weigh(message.request, update);
-            if (update) copies[message.copy].put(message.request.key, *update);
+            if (update) copies[message.copy].put(*update);
             messages.push_back({message.run, message.copy, message.step, true, {}, std::move(reply)});
             return;
         }
@@ -201,6 +204,7 @@
     std::mt19937 draw;
     Bug bug;
     std::vector<Order> orders;
+    reg::Epoch epoch{1, {}};
     std::vector<reg::Copy> copies;
     std::vector<reg::Run> runs;
     std::vector<std::size_t> sent;  // by run, the order
