--- a/tests/gateway/scripted_pods.cpp
+++ b/tests/gateway/scripted_pods.cpp
@@ -60,6 +60,7 @@
     std::string_view left(got);
     while (!left.empty()) {
         http::response_parser<http::string_body> parser;
+        parser.header_limit(64 << 10);
         parser.body_limit(std::uint64_t{1} << 30);
         parser.eager(true);
         Code code;
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -217,6 +217,18 @@
             CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
             CPPUNIT_ASSERT_EQUAL(1, house.arrivals["once"]);
         }
+        // An address that can't be read is a pod that is not reached.
+        House nowhere(each({ok()}), {});
+        nowhere.casting->apply({0, {"N", "s", "nowhere", "z", "v1", 2, false, 0}, false}, now());
+        const auto lost = nowhere.client(post("lost"), {"lost"});
+        nowhere.answered(lost);
+        nowhere.quiet();
+        CPPUNIT_ASSERT_EQUAL(503, lost->answers().at(0).status);
+        House wide(each({ok("{id}", "X-Wide: " + std::string(12'000, 'w') + "\r\n")}));
+        const auto client = wide.client(post("wide"), {"wide"});
+        wide.answered(client);
+        wide.quiet();
+        CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
     }
 
     // A kept connection that the pod has forgotten: its reset comes after our write, and nothing says that
