--- a/src/promptbook/promptbook.hpp
+++ b/src/promptbook/promptbook.hpp
@@ -13,6 +13,10 @@
 
 namespace lichenlanding::promptbook {
 
+// Notes beside the cells: the identity of the disk, its standing among the epochs (JSON), and the members as
+// a book from before there were epochs names them.
+inline const std::string diskNote = "disk", standingNote = "standing", oldMembersNote = "members";
+
 // Errors carry the step at which they arose and the file.
 struct DiskError : std::runtime_error {
     using std::runtime_error::runtime_error;
--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -24,9 +24,8 @@
 constexpr Nanos askAgain = 150 * ms;
 constexpr std::size_t jobsAtMost = 64;  // that wait for the disk
 constexpr double bookPart = 0.6;        // of the disk that the book may take
-const std::string diskNote = "disk", standingNote = "standing", writesNote = "writes",
-                  witnessNote = "witness";
-const std::string oldMembersNote = "members";  // of a book from before there were epochs
+using promptbook::diskNote, promptbook::standingNote, promptbook::oldMembersNote;
+const std::string writesNote = "writes", witnessNote = "witness";
 const reg::Change asItIs = [](const std::string& value) { return value; };
 
 Json aboutStep(reg::Run::Step step) { return Json::array({static_cast<int>(step)}); }
@@ -860,10 +859,13 @@
     for (const auto& one : candidates())
         if (one.present && !epoch_.find(one.member.address, one.member.disk))
             standsBy.push_back({{"address", one.member.address}, {"whole", one.whole}});
+    Json unborne = Json::array();
+    if (formed())
+        for (const auto& one : membership::notBorne(epoch_.members, tolerance())) unborne.push_back(one);
     return {{"epoch", epoch_.number}, {"members", members},
             {"stands_by", standsBy},  {"disk", copy_.disk()},
             {"votes", votes()},       {"contact", contact_},
-            {"not_borne", unborne_},  {"changing", successor_.has_value()}};
+            {"not_borne", unborne},   {"changing", successor_.has_value()}};
 }
 
 }  // namespace lichenlanding::prompter
--- a/tests/gateway/membership.cpp
+++ b/tests/gateway/membership.cpp
@@ -3,6 +3,11 @@
 // bench.
 #include "membership/membership.hpp"
 
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+
 #include "keeper_stage.hpp"
 
 using namespace keeper_stage;
@@ -40,6 +45,7 @@
     CPPUNIT_TEST(oldImage);
     CPPUNIT_TEST(leaves);
     CPPUNIT_TEST(bookOfBefore);
+    CPPUNIT_TEST(majorityLost);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -274,6 +280,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string("one"), alone.read(0));
     }
 
+    // A majority is gone for good: the disk that is left decides nothing by itself; by the operator's command
+    // it is a register of one, to which others are added.
+    void majorityLost() {
+        Cast cast(3, 3);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        cast.until("it holds it",
+                   [&] { return cast.disks[0].image().first[prompter::configurationKey].value == "one"; });
+        for (auto& member : cast.members) member->kill();
+        for (int lost : {1, 2}) cast.disks[lost].restore({});
+        cast.launch(0, false), cast.launch(1, false), cast.launch(2, false);
+        int turns = 0;
+        cast.until("they have met", [&] { return ++turns > 3000 && cast.keeper(0).reached() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("-"), cast.write(0, "two", 3600 * second));
+        cast.members[0]->kill();
+
+        const auto folder = std::filesystem::temp_directory_path() / ("found-" + std::to_string(getpid()));
+        std::filesystem::create_directories(folder);
+        const auto image = cast.disks[0].image();
+        const auto command = [&](const std::string& more) {
+            return std::string(GATEWAY) + " promptbook found " + folder.string() + " --address " +
+                   cast.members[0]->at() + more + " > /dev/null";
+        };
+        {
+            promptbook::Promptbook book(folder.string(), 8 << 20);
+            // Not a configuration in the operators' sense, so the command is shown another key.
+            book.write({{"k", image.first.at(prompter::configurationKey)}}, image.second);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, std::system(command("").c_str()));
+        CPPUNIT_ASSERT_EQUAL(image.second.at("standing"),
+                             promptbook::Promptbook(folder.string(), 8 << 20).note("standing"));  // only told
+        CPPUNIT_ASSERT_EQUAL(0, std::system(command(" --yes").c_str()));
+        auto founded = image;
+        founded.second["standing"] = promptbook::Promptbook(folder.string(), 8 << 20).note("standing");
+        std::filesystem::remove_all(folder);
+        cast.disks[0].restore(founded);
+        cast.launch(0, false);
+        cast.until("there is a register of three again", [&] {
+            return cast.keeper(0).inContact() && cast.keeper(0).members().size() == 3 &&
+                   cast.registers().size() == 1;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(2));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(1, "two"));
+    }
+
     // Books from before there were epochs: their members are the first epoch.
     void bookOfBefore() {
         Cast cast(3);
