At a start many foyers are answered with one packed list; the first term waits for nobody

A duty that nobody has had is taken without a wait. A stage is moved only of the very order, term and all: a service and version may be ordered anew.

--- a/src/callboard/callboard.cpp
+++ b/src/callboard/callboard.cpp
@@ -145,9 +145,25 @@
     }
 }
 
+bool Callboard::wantsWhole(const Json& want) const {
+    const auto held = want.find("held");
+    return listed_ && held != want.end() && readEdition(want.at("of")) == edition_ &&
+           std::all_of(held->begin(), held->end(), [](const auto& ids) { return ids.empty(); });
+}
+
+// Ranges that are not asked for are the same there: they hold nothing, or the copies agree.
+Json Callboard::whole() const {
+    Json set = Json::array();
+    for (const auto& [_, member] : troupe_.members()) set.push_back(cues::write(member));
+    return {{"t", "pods"}, {"edition", callboard::write(edition_)}, {"set", set}, {"gone", Json::array()}};
+}
+
+Json Callboard::body() const {
+    return {{"t", "configuration"}, {"version", version_}, {"squeezed", cues::writeText(squeezed_)}};
+}
+
 void Callboard::answer(const Json& want, const Reply& reply) const {
-    if (want.contains("configuration") && version_ > 0)
-        reply({{"t", "configuration"}, {"version", version_}, {"squeezed", cues::writeText(squeezed_)}});
+    if (want.contains("configuration") && version_ > 0) reply(body());
     if (want.contains("rollouts") && number_ >= 0) reply(order());
     const auto held = want.find("held");
     if (held == want.end() || !listed_) return;
--- a/src/callboard/callboard.hpp
+++ b/src/callboard/callboard.hpp
@@ -56,6 +56,11 @@
     Json digest() const;
     Json cue() const;    // the numbers alone
     Json order() const;  // the rollouts, whole
+    // Whether a "want" comes from a copy that holds no pods, and what answers it and all of its kind: at a
+    // start many ask at once. Likewise for the configuration.
+    bool wantsWhole(const Json& want) const;
+    Json whole() const;
+    Json body() const;
     // "digest", "want", "configuration", "rollouts", "pods"; false where the message is none of these.
     bool heard(const Json& message, From from, Nanos now, const Reply& reply);
 
--- a/src/duties/duties.cpp
+++ b/src/duties/duties.cpp
@@ -68,7 +68,8 @@
                 candidates.push_back(heard);
     const auto chosen = company::chosen(candidates, duty_, candidates.size());
     const auto rank = std::find(chosen.begin(), chosen.end(), self_.address) - chosen.begin();
-    return now - absentSince_ >= absentFor + rank * standbyStep;
+    const Nanos wait = held.term == 0 ? 0 : absentFor;  // nobody has had it: nobody is waited for
+    return now - absentSince_ >= wait + rank * standbyStep;
 }
 
 reg::Change taking(std::string duty, Self self, std::uint64_t seen) {
--- a/src/prompter/duty_holder.cpp
+++ b/src/prompter/duty_holder.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Nanos lookEvery = 50 * ms;
+constexpr Nanos lookEvery = 100 * ms;
 constexpr Nanos rowLife = 1500 * ms;  // three times as long as between two words of another
 constexpr Nanos decideWithin = 900 * ms;
 
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -87,7 +87,9 @@
         if (kind == "hello") {
             hello(link, message);
         } else if (keeper.heard(link, message)) {
-        } else if (kind == "want" || kind == "digest") {
+        } else if (kind == "want") {
+            answer(link, message);
+        } else if (kind == "digest") {
             board.heard(message, callboard::Callboard::From::follower, now(),
                         [&](Json reply) { link.send(word(std::move(reply))); });
         } else if (kind == "lost") {
@@ -148,6 +150,32 @@
         return message;
     }
 
+    // What many foyers ask for at once, as at a start, is made and packed once.
+    struct Kept {
+        Json of;
+        Packed packed;
+    };
+    template <typename Make>
+    static Packed once(Kept& kept, Json of, Make make) {
+        if (kept.of != of) kept = {std::move(of), Link::pack(make())};
+        return kept.packed;
+    }
+    void answer(Link& link, Json want) {
+        const bool sure = keeper.inContact();
+        if (want.contains("configuration") && board.version() > 0) {
+            link.send(once(keptBody, {board.version(), sure}, [&] { return word(board.body()); }));
+            want.erase("configuration");
+        }
+        if (board.wantsWhole(want)) {
+            const auto& edition = board.edition();
+            link.send(
+                once(keptList, {edition.term, edition.sequence, sure}, [&] { return word(board.whole()); }));
+            want.erase("held");
+        }
+        board.heard(want, callboard::Callboard::From::follower, now(),
+                    [&](Json reply) { link.send(word(std::move(reply))); });
+    }
+
     void tellAll(const Json& message) {
         const auto packed = Link::pack(word(message));
         for (const auto& [_, foyer] : foyers) foyer.link->send(packed);
@@ -315,6 +343,7 @@
     std::map<std::string, std::shared_ptr<Dialer>> dialers;  // by address
     std::map<std::string, Foyer> foyers;                     // by name
     callboard::Callboard board{{}};
+    Kept keptBody, keptList;  // packed, as last asked for
     DutyHolder duties;
     ListDuty list;
     RolloutsDuty rollouts;
--- a/src/prompter/rollouts_duty.cpp
+++ b/src/prompter/rollouts_duty.cpp
@@ -125,8 +125,8 @@
         bool changed = false;
         for (auto& one : all) {
             // What is decided stays decided, whoever else steers.
-            if (one.service != to.service || one.target != to.target || !one.running() ||
-                one.stage != rollout.stage)
+            if (one.service != to.service || one.target != to.target || one.term != to.term ||
+                !one.running() || one.stage != rollout.stage)
                 continue;
             one = to, one.number = number + 1, changed = true;
         }
--- a/tests/gateway/duties.cpp
+++ b/tests/gateway/duties.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(lowerTermDropped);
     CPPUNIT_TEST(newerThanTheEdition);
     CPPUNIT_TEST(missedInOneEdition);
+    CPPUNIT_TEST(askedByMany);
     CPPUNIT_TEST(ages);
     CPPUNIT_TEST(oldValues);
     CPPUNIT_TEST(unsureNews);
@@ -250,6 +251,24 @@
         }
     }
 
+    // What a copy without pods asks for is the same for all of them; any other is answered on its own.
+    void askedByMany() {
+        Callboard holder{{}}, empty{{}}, other{{}};
+        holder.list({pod("a"), pod("b", true), pod("c")}, 3);
+        Json want;
+        empty.heard(holder.digest(), Callboard::From::prompter, second, [&](Json reply) { want = reply; });
+        CPPUNIT_ASSERT(holder.wantsWhole(want));
+        empty.heard(holder.whole(), Callboard::From::prompter, second, [](const Json&) {});
+        CPPUNIT_ASSERT(empty.troupe().members() == holder.troupe().members());
+        CPPUNIT_ASSERT(empty.digest() == holder.digest());
+        other.list({pod("z")}, 1);
+        Json partly;
+        other.heard(holder.digest(), Callboard::From::prompter, second, [&](Json reply) { partly = reply; });
+        CPPUNIT_ASSERT(!holder.wantsWhole(partly));
+        holder.list({pod("c")}, 3);
+        CPPUNIT_ASSERT(!holder.wantsWhole(want));  // of an edition that has passed
+    }
+
     // An order's age is a span: counted on by steady clocks, handed on between prompters, written down each
     // second.
     void ages() {
