--- a/tests/fuzz/gateway.cpp
+++ b/tests/fuzz/gateway.cpp
@@ -9,6 +9,7 @@
 #include "callboard/callboard.hpp"
 #include "cues/cues.hpp"
 #include "duties/duties.hpp"
+#include "membership/membership.hpp"
 #include "orders/configuration.hpp"
 #include "playbill/boot.hpp"
 #include "playbill/playbill.hpp"
@@ -217,12 +218,48 @@
     insist(parser.get().body().size() <= 4096);
 }
 
+// What members of the register ask of each other: seals, transfers, epochs in greetings. What is read is a
+// request that a copy can weigh, and is written and read the same again.
+void epochs(std::string_view bytes) {
+    Json json;
+    try {
+        json = Json::from_cbor(bytes, true, false);
+    } catch (const Json::exception&) {
+        return;
+    }
+    if (json.is_discarded()) return;
+    reg::Copy copy("a", "1");
+    copy.put({{}, reg::Standing{{1, {{"a", "1", "", ""}}}, true, {}, {}}});
+    try {
+        const auto request = membership::readRequest(json);
+        insist(membership::write(membership::readRequest(membership::write(request))) ==
+               membership::write(request));
+        std::optional<reg::Update> update;
+        const auto reply = copy.weigh(request, update);
+        if (update) copy.put(*update);
+        insist(membership::write(membership::readReply(membership::write(reply))) ==
+               membership::write(reply));
+    } catch (const Json::exception&) {
+    }
+    try {
+        const auto standing = membership::readStanding(json);
+        insist(membership::readStanding(membership::write(standing)) == standing);
+    } catch (const Json::exception&) {
+    }
+    try {
+        const auto reply = membership::readReply(json);
+        insist(membership::write(membership::readReply(membership::write(reply))) ==
+               membership::write(reply));
+    } catch (const Json::exception&) {
+    }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     if (size == 0) return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-    switch (data[0] % 11) {
+    switch (data[0] % 12) {
         case 0:
             configuration(bytes);
             break;
@@ -253,6 +290,9 @@
         case 9:
             duties_(bytes);
             break;
+        case 11:
+            epochs(bytes);
+            break;
         default:
             orders_(bytes);
     }
@@ -284,7 +324,24 @@
     Json::to_cbor(told, heard);
     cues::Rollout order;
     order.service = "s", order.target = "v2";
+    const reg::Epoch one{1, {{"a", "1", "z", "r"}, {"b", "2", "z", "r"}}}, two{2, {{"a", "1", "z", "r"}}};
+    const auto packed = [&](const Json& message) {
+        std::string bytes;
+        Json::to_cbor(message, bytes);
+        return seed(11, bytes);
+    };
+    reg::Request seal, accept;
+    seal.kind = reg::Request::Kind::seal, seal.epoch = 1, seal.from = one, seal.to = two;
+    seal.holds["k"] = {3, 4};
+    accept.kind = reg::Request::Kind::accept, accept.epoch = 1, accept.key = "k", accept.ballot = {3, 4};
+    accept.value = "value";
+    reg::Reply sealed;
+    sealed.taken = true, sealed.cells["k"] = {{3, 4}, {2, 1}, "value"};
     const std::vector<std::string> seeds{
+        packed(membership::write(seal)),
+        packed(membership::write(accept)),
+        packed(membership::write(sealed)),
+        packed(membership::write(reg::Standing{one, true, two, {}})),
         seed(
             0,
             R"({"config_version":"0000000c","resources":[{"resource_type":"route_table","metadata":{"name":"r"},"spec":{"hostname":"h","path_prefix":"/p/","route_class":"idempotent","timeout":"1s","target_latency":"1s","traffic_split":[{"service_name":"s","weight":3}]}},{"resource_type":"service_table","metadata":{"name":"s"},"spec":{}}]})"),
