A loss of all: prompters that are up first dial at once whoever is heard of; a duty needs no second read

Change: a hello on an accepted link ends the pause of the dialer to the same prompter; contact counts as the read that a duty needs.

--- a/src/prompter/duty_holder.cpp
+++ b/src/prompter/duty_holder.cpp
@@ -57,11 +57,7 @@
             confirmed_ = false;
             continue;
         }
-        if (!confirmed_) {  // what was known before may be old
-            const auto value = co_await keeper_.read(dutiesKey, decideWithin);
-            confirmed_ = value && keeper_.inContact();
-            continue;
-        }
+        confirmed_ = true;  // in contact: every key was read from a majority since
         for (auto& [name, watch] : watches_) {
             const auto at = held().find(name);
             const auto before = at == held().end() ? duties::Duty() : at->second;
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -111,6 +111,8 @@
             const auto dialer = dialers.find(at);
             if (dialer != dialers.end() && dialer->second && dialer->second->link().get() == &link)
                 keeper.joined(at, link.shared_from_this());
+            else if (dialer != dialers.end() && dialer->second && !dialer->second->link())
+                dialer->second->hurry();  // after a loss of all, those that are up first wait for the others
             keeper.greeted(message);
             for (const auto& member : message.at("members")) dial(member.get<std::string>());
             sayKnown();
--- a/src/wings/link.cpp
+++ b/src/wings/link.cpp
@@ -150,7 +150,7 @@
 }
 
 Dialer::Dialer(asio::io_context& io, std::string address, std::shared_ptr<Link::Owner> owner)
-    : io_(io), address_(std::move(address)), owner_(std::move(owner)) {}
+    : io_(io), address_(std::move(address)), owner_(std::move(owner)), pause_(io) {}
 
 void Dialer::go() { start(io_, "dial", run(shared_from_this())); }
 
@@ -180,7 +180,7 @@
                 co_await Link::run(link, self->owner_);
             }
         }
-        if (!self->stopped_) co_await sleep(pause);
+        if (!self->stopped_) co_await self->pause_.wait(now() + pause);
     }
 }
 
--- a/src/wings/link.hpp
+++ b/src/wings/link.hpp
@@ -67,6 +67,8 @@
     Dialer(asio::io_context& io, std::string address, std::shared_ptr<Link::Owner> owner);
     void go();
     void stop();
+    // The other side has just been heard of, so it is up: no pause before the next dial.
+    void hurry() { pause_.ring(); }
     const std::string& address() const { return address_; }
     std::shared_ptr<Link> link() const { return link_ && link_->open() ? link_ : nullptr; }
 
@@ -76,6 +78,7 @@
     std::string address_;
     std::shared_ptr<Link::Owner> owner_;
     std::shared_ptr<Link> link_;
+    Bell pause_;
     bool stopped_ = false;
 };
 
