--- a/src/cues/cues.cpp
+++ b/src/cues/cues.cpp
@@ -102,7 +102,7 @@
         ROLLOUT_FIELDS(X)
         ROLLOUT_SPANS(X)
 #undef X
-            list.push_back(std::move(json));
+        list.push_back(std::move(json));
     }
     return list.dump();
 }
