--- a/tests/gateway/register.cpp
+++ b/tests/gateway/register.cpp
@@ -554,7 +554,7 @@
     }
     void everyOrder() {
         for (const auto& one : shapes) {
-            const auto [states, broken] = explore(World(one), 20'000);
+            const auto [states, broken] = explore(World(one), 40'000);
             std::printf(" (%s: %zu states)", one.name.c_str(), states);
             CPPUNIT_ASSERT_EQUAL(std::string(), broken);
         }
@@ -563,7 +563,7 @@
         for (const auto& one : shapes) {
             long ended = 0, opened = 0;
             const auto* more = std::getenv("REGISTER_SEEDS");
-            const std::uint32_t last = more ? static_cast<std::uint32_t>(std::stoul(more)) : 4'000;
+            const std::uint32_t last = more ? static_cast<std::uint32_t>(std::stoul(more)) : 20'000;
             CPPUNIT_ASSERT_EQUAL(std::string(), chance(one, Bug::none, 1, last + 1, &ended, &opened));
             std::printf(" (%s: %u seeds, %ld ended, %ld epochs)", one.name.c_str(), last, ended, opened);
             // The schedules do get somewhere: values are read back, changes of the members open.
