Prompters that greet are linked to: founders could decide on members nobody reached

Cause: a greeting named seeds and members, not the greeter. Where the founders had heard of machines that are no seeds before their first look, the first epoch could be of those alone; nobody but they linked to any, and no two of them to each other, so it was decided and never opened. Change: a greeting names its sender; who hears it links back.

--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -368,12 +368,10 @@
 }
 
 Json Keeper::greeting() const {
-    std::set<std::string> known;
+    // Itself too: who is heard of may be chosen as a member, and a change of the members asks the new ones.
+    std::set<std::string> known{me_};
     for (const auto& member : epoch_.members) known.insert(member.address);
-    if (!formed()) {
-        known.insert(seeds_.begin(), seeds_.end());
-        if (std::binary_search(seeds_.begin(), seeds_.end(), me_)) known.insert(me_);
-    }
+    if (!formed()) known.insert(seeds_.begin(), seeds_.end());
     return {{"members", known},
             {"formed", formed()},
             {"sure", contact_},
--- a/tests/gateway/membership.cpp
+++ b/tests/gateway/membership.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(seats);
     CPPUNIT_TEST(oneRegisterOfFive);
     CPPUNIT_TEST(oneRegisterForZones);
+    CPPUNIT_TEST(foundedBeyondTheSeeds);
     CPPUNIT_TEST(foundedThroughKills);
     CPPUNIT_TEST(seedsWithNothing);
     CPPUNIT_TEST(cutOff);
@@ -130,6 +131,37 @@
         CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(2, "two"));
     }
 
+    // The founders decide on three machines that are no seeds: these have linked to the seeds alone, and
+    // nobody was told to link to them. Whom the plan takes depends on the port, so it is looked for.
+    void foundedBeyondTheSeeds() {
+        const auto zone = [](int at) { return at < 3 ? std::string("z0") : "z" + std::to_string(at); };
+        const std::vector<std::string> beyond{"127.0.3.4", "127.0.3.5", "127.0.3.6"};
+        int port = 0;
+        std::vector<std::string> chosen;
+        for (port = 20000; chosen != beyond && port < 24000; ++port) {
+            std::vector<reg::Member> six;
+            for (int at = 0; at < 6; ++at) {
+                const auto address = "127.0.3." + std::to_string(at + 1) + ":" + std::to_string(port);
+                six.push_back(machine(address, zone(at)));
+            }
+            chosen.clear();
+            for (const auto& member : membership::plan({}, all(six), {1, 1, 0}))
+                chosen.push_back(wings::hostOf(member.address));
+            if (chosen == beyond) break;
+        }
+        CPPUNIT_ASSERT(chosen == beyond);
+        Cast cast(6);
+        cast.port = port, cast.zone = zone;
+        // Seeds of one zone don't bear its loss: they wait until the others are heard of.
+        cast.tolerance = [](playbill::Boot& boot) { boot.machinesLost = 1, boot.zonesLost = 1; };
+        for (const int at : {3, 4, 5, 0, 1, 2}) cast.launch(at, true);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3, 4, 5}); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cast.registers().size());
+        for (const int at : {3, 4, 5}) CPPUNIT_ASSERT(cast.keeper(at).votes());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(1, "one"));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(4));
+    }
+
     // A founder is killed after each of its first writes to disk, and comes back as one that isn't told it is
     // the first start: there is one register all the same, and its epoch is agreed.
     void foundedThroughKills() {
