--- a/bench/days/generate.cpp
+++ b/bench/days/generate.cpp
@@ -58,6 +58,7 @@
     bool core = false;
     int count = -1;
     double share = -1, x = -1, forS = -1, gapS = -1;
+    bool front = false;  ///< on the foyers' machines alone
 };
 
 std::string number(double value) {
@@ -72,6 +73,7 @@
 std::string text(const Entry& e) {
     std::string s = "  { at = " + number(e.at) + ", kind = \"" + e.kind + "\"";
     if (e.core) s += ", on = \"core\"";
+    if (e.front) s += ", on = \"front\"";
     if (!e.how.empty()) s += ", how = \"" + e.how + "\"";
     if (e.count >= 0) s += ", count = " + std::to_string(e.count);
     if (e.share >= 0) s += ", share = " + number(e.share);
@@ -87,10 +89,11 @@
         : site_(deployment), chance_(seed), daySeed_(int(chance_.next() >> 34)) {
         length_ = chance_.in(0.5) ? site_.lengthLeast : chance_.between(site_.lengthLeast, site_.lengthMost);
         length_ = std::floor(length_);
-        family_ = chance_.in(0.6) ? 0 : chance_.whole(1, 4);
+        family_ = chance_.in(0.6) ? 0 : chance_.whole(1, 6);
         orders();
         beats();
         if (chance_.in(0.4)) season();
+        if (chance_.in(0.5)) nuisances();
         closing();
     }
 
@@ -196,9 +199,25 @@
                 return chance_.in(0.5) ? chance_.whole(8, 10) : 2;  // disks, freezes, losses of power
             case 4:
                 return chance_.in(0.5) ? 4 : chance_.whole(0, 7);  // all at once, and what comes close
+            case 5:
+                return chance_.in(0.7) ? chance_.whole(14, 15) : chance_.whole(3, 7);  // machines change
+            case 6:
+                return chance_.in(0.5) ? chance_.whole(16, 18) : chance_.whole(8, 11);  // slow, silent, reset
             default:
-                return chance_.whole(0, 13);
+                return chance_.whole(0, 18);
+        }
+    }
+
+    /// A core machine is gone for good, or goes as planned, and an empty one comes at another address.
+    double replaced(double at) {
+        const double after = chance_.between(0.3, 4.0);
+        if (chance_.in(0.5)) {
+            plan_.push_back({.at = at, .kind = "replace_core", .how = "planned", .core = true, .x = after});
+        } else {
+            faults_.push_back({.at = at, .kind = "replace_core", .core = true, .x = after});
         }
+        if (chance_.in(0.5)) plan_.push_back({.at = at + chance_.between(0, 8), .kind = "seed_turnover"});
+        return after + 5;
     }
 
     /// One blow to the core; for how long it lasts.
@@ -232,6 +251,30 @@
             }
         }
         switch (drawn()) {
+            case 14:
+                return replaced(at);
+            case 15:
+                if (chance_.in(0.7)) return replaced(at);
+                plan_.push_back({.at = at, .kind = "seed_turnover"});
+                return 2;
+            case 16:
+                faults_.push_back({.at = at, .kind = "disk_stall", .count = lost(), .forS = forS * 2});
+                return forS * 2;
+            case 17:
+                faults_.push_back({.at = at,
+                                   .kind = "reset_conns",
+                                   .core = true,
+                                   .share = chance_.between(0.3, 1.0),
+                                   .x = chance_.between(0.3, 1.0)});
+                return 1;
+            case 18:
+                faults_.push_back({.at = at,
+                                   .kind = "node_slow",
+                                   .core = true,
+                                   .count = lost(),
+                                   .x = chance_.between(3, 12),
+                                   .forS = forS * 2});
+                return forS * 2;
             case 0:
             case 1:
                 faults_.push_back({.at = at,
@@ -300,11 +343,13 @@
                                    .count = lost(),
                                    .forS = forS});
                 return forS;
-            default: {
+            default: {  // 11 to 13
                 // Every other cut lasts long: whoever is behind it has time to hand out what it holds.
                 if (chance_.in(0.5)) forS = chance_.between(15, std::max(16.0, std::min(35.0, length_ / 2)));
                 std::string how = aimed(true), which = chance_.of({"", "", "one_way", "seeds", "both"});
                 if (!which.empty()) how = which + (how.empty() ? "" : " " + how);
+                if (chance_.in(0.2))
+                    how += std::string(how.empty() ? "" : " ") + chance_.of({"reset", "refuse"});
                 faults_.push_back({.at = at, .kind = "core_cut", .how = how, .count = lost(), .forS = forS});
                 if (chance_.in(0.4))
                     faults_.push_back({.at = at + chance_.between(0, forS),
@@ -332,7 +377,35 @@
     void season() {
         for (int n = chance_.whole(1, 3); n > 0; --n) {
             double at = moment(), forS = chance_.between(2, 6);
-            switch (chance_.whole(0, 7)) {
+            switch (chance_.whole(0, 13)) {
+                case 8:
+                    faults_.push_back({.at = at, .kind = "srv_slow", .share = 0.2, .x = 4, .forS = forS});
+                    break;
+                case 9:
+                    faults_.push_back({.at = at,
+                                       .kind = "replace_with_reuse",
+                                       .how = chance_.of({"", "drain", "dark"}),
+                                       .share = 0.1});
+                    break;
+                case 10:
+                    plan_.push_back({.at = at, .kind = "scale_out", .share = 0.3, .gapS = 2});
+                    break;
+                case 11:
+                    faults_.push_back(
+                        {.at = at, .kind = "burst", .x = chance_.between(1.3, 2.0), .forS = forS});
+                    break;
+                case 12:
+                    faults_.push_back({.at = at, .kind = "retry_abuse", .share = 0.3, .x = 3, .forS = forS});
+                    break;
+                case 13:
+                    plan_.push_back({.at = at,
+                                     .kind = "roll_term",
+                                     .how = chance_.of({"", "busy", "remove"}),
+                                     .share = chance_.between(0.2, 1.0),
+                                     .x = double(chance_.whole(1, 3)),
+                                     .gapS = chance_.between(0.5, 2),
+                                     .front = true});
+                    break;
                 case 0:
                     plan_.push_back({.at = at, .kind = "scale_in", .share = 0.1});
                     break;
@@ -367,6 +440,42 @@
         }
     }
 
+    /// What alone costs a machine nothing: clocks, signals, connections, acknowledgements that get lost.
+    void nuisances() {
+        for (int n = chance_.whole(1, 4); n > 0; --n) {
+            const double at = moment(), forS = chance_.between(2, 12);
+            switch (chance_.whole(0, 4)) {
+                case 0:
+                    faults_.push_back({.at = at,
+                                       .kind = "clock_step",
+                                       .how = chance_.of({"back", "ahead"}),
+                                       .share = chance_.between(0.2, 1.0),
+                                       .x = chance_.in(0.5) ? 3600000 : chance_.between(500, 60000),
+                                       .forS = forS});
+                    break;
+                case 1:
+                    plan_.push_back({.at = at,
+                                     .kind = "hup",
+                                     .share = chance_.between(0.2, 1.0),
+                                     .gapS = chance_.between(0.1, 3)});
+                    break;
+                case 2:
+                    faults_.push_back({.at = at,
+                                       .kind = "reset_conns",
+                                       .share = chance_.between(0.1, 0.5),
+                                       .x = chance_.between(0.3, 1.0)});
+                    break;
+                case 3:
+                    plan_.push_back({.at = at, .kind = "seed_turnover"});
+                    break;
+                default:
+                    faults_.push_back(
+                        {.at = at, .kind = "ack_lost", .x = chance_.between(0.3, 0.9), .forS = forS});
+                    break;
+            }
+        }
+    }
+
     void closing() {
         if (chance_.in(0.2)) return;
         std::string kind = chance_.of({"power_off_all", "kill_all", "wipe_after_ack", "wipe_after_ack"});
