A run goes on beside a member that still stands, sealed, in the epoch before

Cause: a refusal that says 'sealed' ended a run whatever epoch it spoke of. A member whose disk took the seal of the old epoch and then no more (full, slow) refuses at once, before the others have synced, so no change of the members ended while it was there. Change: only a seal of the run's own epoch, or a later epoch, ends a run. Measured: RegisterTest::sealedBefore red before, green now.

--- a/src/promptbook/promptbook.cpp
+++ b/src/promptbook/promptbook.cpp
@@ -1,11 +1,13 @@
 #include "promptbook/promptbook.hpp"
 
+#include <fcntl.h>
 #include <lmdb.h>
 #include <unistd.h>
 
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <utility>
 
 namespace lichenlanding::promptbook {
@@ -19,6 +21,15 @@
         throw DiskError(std::string("promptbook ") + folder + ": " + step + ": " + mdb_strerror(code));
 }
 
+// A name in a folder lasts a loss of power once the folder is synced, whatever was synced of the file itself.
+void syncFolder(const std::string& folder) {
+    const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY);
+    if (file < 0) check(errno, "open folder", folder);
+    const int code = fsync(file) == 0 ? 0 : errno;
+    ::close(file);
+    check(code, "sync folder", folder);
+}
+
 std::uint32_t checksum(std::string_view bytes) {
     boost::crc_32_type crc;
     crc.process_bytes(bytes.data(), bytes.size());
@@ -100,6 +111,8 @@
             Deed deed(*this, 0);
             check(mdb_dbi_open(deed.txn, nullptr, 0, &dbi), "open table", folder);
             check(deed.commit(), "commit", folder);
+            syncFolder(folder);
+            syncFolder(std::filesystem::absolute(folder).parent_path().string());
         } catch (...) {
             mdb_env_close(std::exchange(env, nullptr));
             throw;
--- a/src/register/register.cpp
+++ b/src/register/register.cpp
@@ -122,7 +122,9 @@
     if (answered != step_ || step_ == Step::done || step_ == Step::lost) return false;
     if (told.refused) {  // neither for nor against; where it goes on elsewhere, this run has no more to win
         refused_.insert(member);
-        if (told.epoch <= epoch_ && !told.sealed) return false;
+        // One that still stands in the epoch before, sealed, has not been told of this one yet: as one that
+        // is down.
+        if (told.epoch < epoch_ || (told.epoch == epoch_ && !told.sealed)) return false;
         move(Step::lost);
         return true;
     }
--- a/tests/gateway/membership.cpp
+++ b/tests/gateway/membership.cpp
@@ -43,6 +43,10 @@
     CPPUNIT_TEST(seedsWithNothing);
     CPPUNIT_TEST(cutOff);
     CPPUNIT_TEST(replacedAndLostAgain);
+    CPPUNIT_TEST(fullThroughAChange);
+    CPPUNIT_TEST(backAfterTheOthersWent);
+    CPPUNIT_TEST(lateIsNotAbsent);
+    CPPUNIT_TEST(leftHalfway);
     CPPUNIT_TEST(oldImage);
     CPPUNIT_TEST(leaves);
     CPPUNIT_TEST(bookOfBefore);
@@ -257,6 +261,128 @@
             }
     }
 
+    // A member's disk takes the seal of the old epoch and is full from then on. The new one opens without it;
+    // with room again it is part of majorities, so that the next loss is borne.
+    void fullThroughAChange() {
+        Cast cast(4, 4);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        std::vector<int> seated;
+        int spare = 0;
+        for (int at = 0; at < 4; ++at)
+            if (cast.keeper(at).votes()) seated.push_back(at);
+            else spare = at;
+        const int gone = seated[0], full = seated[1], other = seated[2];
+        cast.members[gone]->kill();
+        cast.until("it has sealed", [&] {
+            return cast.disks[full].image().second["standing"].find("\"next\"") != std::string::npos;
+        });
+        cast.disks[full].set(cast.disks[full].full, true);
+        cast.until("the seat is taken",
+                   [&] { return cast.keeper(other).inContact() && cast.keeper(spare).votes(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(other, "two"));
+        CPPUNIT_ASSERT(!cast.keeper(full).votes());
+        cast.disks[full].set(cast.disks[full].full, false);
+        cast.until("it counts again", [&] { return cast.keeper(full).votes(); });
+        cast.members[spare]->kill();
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.read(other));
+        CPPUNIT_ASSERT_EQUAL(std::string("three"), cast.write(full, "three"));
+    }
+
+    // While a member was away all others of its epoch were replaced, one after the other. None of them is
+    // left to tell what they saw of its disk; it stands by all the same, and takes a seat when one is free.
+    void backAfterTheOthersWent() {
+        Cast cast(7, 7);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3, 4, 5, 6}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        const auto takesOver = [&](const std::string& gone, int witness) {
+            cast.until("a seat is taken", [&] {
+                return cast.keeper(witness).inContact() && !cast.keeper(witness).members().contains(gone);
+            });
+        };
+        std::vector<int> first;
+        for (int at = 0; at < 7; ++at)
+            if (cast.keeper(at).votes()) first.push_back(at);
+        int witness = 0;
+        while (cast.keeper(witness).votes()) ++witness;
+        for (const int at : first) {
+            cast.members[at]->kill();
+            takesOver(cast.members[at]->at(), witness);
+        }
+        cast.launch(first[0], false);
+        const auto back = cast.members[first[0]]->at();
+        cast.until("it stands by", [&] { return cast.keeper(first[0]).inContact(); });
+        // Those that are left but for the witness go too, one after the other: it is needed.
+        for (int at = 0; at < 7; ++at)
+            if (!cast.members[at]->gone && at != witness && at != first[0] &&
+                !cast.keeper(witness).members().contains(back)) {
+                cast.members[at]->kill();
+                takesOver(cast.members[at]->at(), witness);
+            }
+        CPPUNIT_ASSERT(cast.keeper(witness).members().contains(back));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(first[0]));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(witness, "two"));
+    }
+
+    // All fall at once, and one member is later to come back than the others and one that stands by: it is
+    // not absent before it was given the time that any member is given.
+    void lateIsNotAbsent() {
+        Cast cast(4, 4);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        int late = 0;
+        while (!cast.keeper(late).votes()) ++late;
+        std::vector<int> others;
+        for (int at = 0; at < 4; ++at)
+            if (at != late) others.push_back(at);
+        cast.until("all hold it", [&] {
+            return std::all_of(cast.disks.begin(), cast.disks.end(), [](Disk& disk) {
+                return disk.image().first[prompter::configurationKey].value == "one";
+            });
+        });
+        for (auto& member : cast.members) member->kill();
+        for (const int at : others) cast.launch(at, false);
+        cast.until("they are in contact", [&] { return cast.inContact(others); });
+        const Nanos since = now();
+        cast.until("they have looked around", [&] { return now() - since > 300 * ms; });
+        cast.launch(late, false);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3}); });
+        for (int at = 0; at < 4; ++at) CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cast.keeper(at).epoch().number);
+    }
+
+    // A change of the members was accepted by one disk, and whoever asked for it is gone: it is ended soon by
+    // the others, not when somebody happens to need another change.
+    void leftHalfway() {
+        Cast cast(4, 4);
+        cast.until("all are in contact", [&] { return cast.inContact({0, 1, 2, 3}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
+        int holds = 0, spare = 0;
+        while (!cast.keeper(holds).votes()) ++holds;
+        while (cast.keeper(spare).votes()) ++spare;
+        auto next = cast.keeper(holds).epoch();
+        next.number = 2;
+        for (int at = 0; at < 4; ++at)
+            if (cast.keeper(at).votes() && at != holds) {
+                // In the place of the other member that comes first, as if it had been thought absent.
+                const auto disk = cast.disks[spare].image().second.at("disk");
+                std::erase_if(next.members,
+                              [&](const auto& one) { return one.address == cast.members[at]->at(); });
+                next.members.push_back({cast.members[spare]->at(), disk, cast.zone(spare), "r"});
+                std::sort(next.members.begin(), next.members.end());
+                break;
+            }
+        cast.members[holds]->kill();
+        auto image = cast.disks[holds].image();
+        image.first["epoch/2"] = {{1, 77}, {1, 77}, membership::write(next).dump()};
+        cast.disks[holds].restore(image);
+        cast.launch(holds, false);
+        cast.until("it is ended", [&] {
+            return cast.keeper(spare).epoch().number >= 2 && cast.inContact({0, 1, 2, 3});
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.read(spare));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), cast.write(holds, "two"));
+    }
+
     // A disk is put back as it was before it had answered: it counts as lost, and joins as another.
     void oldImage() {
         Cast cast(3, 3);
--- a/tests/gateway/register.cpp
+++ b/tests/gateway/register.cpp
@@ -539,6 +539,7 @@
     CPPUNIT_TEST(bugsAreFound);
     CPPUNIT_TEST(threeCopies);
     CPPUNIT_TEST(lowBallotsStayBelow);
+    CPPUNIT_TEST(sealedBefore);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -610,6 +611,33 @@
             for (std::uint32_t again = 0; again < 3; ++again) CPPUNIT_ASSERT_EQUAL(value, read(again, 9));
         }
     }
+    // A member of the new epoch whose disk took the seal of the old one and then no more refuses at once, as
+    // the first to answer: the others are a majority all the same.
+    void sealedBefore() {
+        const Epoch two{2, {{"a", "1", "", ""}, {"b", "1", "", ""}, {"c", "1", "", ""}}};
+        Run run(
+            "k", two, 1, 0, [](const std::string&) { return "new"; }, false);
+        const auto refusal = [](std::uint64_t epoch, bool sealed) {
+            Reply reply;
+            reply.refused = true, reply.epoch = epoch, reply.sealed = sealed;
+            return reply;
+        };
+        Reply taken;
+        taken.taken = true;
+        while (run.step() != Run::Step::done) {
+            const auto step = run.step();
+            CPPUNIT_ASSERT(!run.on(0, step, refusal(1, true)));
+            CPPUNIT_ASSERT(!run.on(1, step, taken));
+            CPPUNIT_ASSERT(run.on(2, step, taken));
+        }
+        // Sealed in its own epoch, or further on: nothing more to win.
+        for (const auto& reply : {refusal(2, true), refusal(3, false)}) {
+            Run other(
+                "k", two, 1, 0, [](const std::string&) { return "new"; }, false);
+            CPPUNIT_ASSERT(other.on(0, Run::Step::prepare, reply));
+            CPPUNIT_ASSERT(other.step() == Run::Step::lost);
+        }
+    }
     // A body that one disk took in an old epoch, and nobody ended with, does not come back above a later one
     // when its disk is a member again: the transfer lifts a key's ballots also where it finds only promises.
     void lowBallotsStayBelow() {
