Keeper: a change of the members ends, and is left in order, through full disks, halts and long absences

Cause, each found by a review and red in MembershipTest on the text before (the second and fourth without a test of their own): - a newest epoch that the disk had refused was never written again: a seat that counted for nothing and looked well; - what a learner keeps was decided when it was queued and could be written over what it had accepted as a member meanwhile; - a disk that was away while all others of its epoch were replaced waited for them for ever; - reads of up to a second held up pings, contact and the members' look; - a successor that one disk had accepted and nobody ended lay there until another change was needed, and a seal was asked for without a look at whether the new members are there; - a member not heard of since a prompter's start was absent at once, and its seat given away in the second of a recovery. Change: the epoch is installed again with each ping until it stands; kept cells are looked at again when their turn comes; of a passed epoch nothing is answered and only members of the newest are asked; catching up runs beside the look; an accepted successor is ended after 400 ms, a seal waits for a majority of the new members (unless it is given); presence counts from the start and from the present epoch. The members are planned every 150 ms where nothing is pending (50 ms before): a calm look costs most in it. Measured: MembershipTest 17 of 17, KeeperTest, CatchingUpTest pass.

--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -17,6 +17,7 @@
 constexpr Nanos unlearntFor = 200 * ms;  // an accepted value whose writer has not told its end
 constexpr Nanos maintainEvery = 50 * ms;
 constexpr Nanos pingEvery = 300 * ms;
+constexpr Nanos planEvery = 150 * ms;  // the members, while nothing is pending: it costs most of a calm look
 constexpr Nanos foundPatience = 2000 * ms;  // for as many machines as bear all, before fewer found it
 constexpr Nanos deferFor = 400 * ms;        // to the one whose turn it is to change the members
 constexpr Nanos standsByFor = 1000 * ms;    // without a word, one that stands by is not counted on
@@ -164,10 +165,16 @@
 // What others saw of this disk must not lie above what it holds: else it is an older image of itself.
 void Keeper::confirm() {
     if (confirmed_ || !open_) return;
-    const auto& epoch = copy_.standing().epoch;
-    std::size_t heard = 1;
-    for (const auto& member : epoch.members) heard += confirmedBy_.contains(member.address);
-    if (copy_.member(epoch) && heard < epoch.majority()) return;
+    // Where its epoch has passed, those of that one may be gone for good, and nothing of it is answered any
+    // more: only those of the newest are asked, if it is one of them.
+    const auto& own = copy_.standing().epoch;
+    const auto& epoch = epoch_.number > own.number ? epoch_ : own;
+    const auto heard = std::count_if(epoch.members.begin(), epoch.members.end(), [&](const auto& member) {
+        const auto by = confirmedBy_.find(member.address);
+        return member.address == me_ ||
+               (by != confirmedBy_.end() && (epoch.number == 0 || by->second == member.disk));
+    });
+    if (copy_.member(epoch) && static_cast<std::size_t>(heard) < epoch.majority()) return;
     confirmed_ = true;
     if (!jobs_.empty() && !working_) {
         working_ = true;
@@ -182,7 +189,7 @@
     auto cells = copy_.cells();
     copy_ = reg::Copy(me_, newDisk());
     copy_.put({{}, standing});
-    jobs_.clear();
+    jobs_.clear(), keeping_.clear();
     confirmed_ = false, open_ = false, writes_ = 0;
     Job job;
     for (const auto& [key, _] : cells) job.update.cells[key] = {};
@@ -210,12 +217,17 @@
         jobs_.pop_front();
         std::optional<reg::Update> update;
         reg::Reply reply;
-        if (job.request) reply = copy_.weigh(*job.request, update);
-        else update = job.update;
+        if (job.request && job.request->kind != reg::Request::Kind::install &&
+            job.request->epoch < epoch_.number)  // it has passed, also where that is not on this disk yet
+            reply.refused = true, reply.epoch = epoch_.number;
+        else if (job.request) reply = copy_.weigh(*job.request, update);
+        else if (!job.kept) update = job.update;
+        else if (auto kept = keeps(*job.kept)) update = reg::Update{std::move(*kept), {}};
+        if (job.kept) keeping_.erase(*job.kept);
         if (update) {
             const auto disk = copy_.disk();
             if (!co_await write(*update, job.notes)) {
-                if (job.request) continue;  // no word
+                if (job.request || job.kept) continue;  // no word; what is kept is looked at again
                 jobs_.push_back(std::move(job));
                 co_await sleep(2 * maintainEvery);
                 continue;
@@ -320,26 +332,35 @@
 
 void Keeper::adopt(const reg::Epoch& epoch) {
     const bool seated = epoch_.number == 0 || copy_.member(epoch_);
-    epoch_ = epoch;
+    epoch_ = epoch, epochSince_ = now();
     if (successor_ && successor_->second.number <= epoch.number) successor_.reset();
     Json members = Json::array();
     for (const auto& member : epoch.members) members.push_back(member.address);
     log("epoch", {{"number", epoch.number}, {"members", members}, {"votes", copy_.member(epoch)}});
     if (!seated && copy_.member(epoch)) log("rejoined", {{"number", epoch.number}, {"disk", copy_.disk()}});
-    const auto& own = copy_.standing();
-    if (own.epoch.number < epoch.number || (own.epoch.number == epoch.number && !own.open)) {
-        Job job;
-        reg::Request install;
-        install.kind = reg::Request::Kind::install, install.epoch = epoch.number, install.to = epoch;
-        install.open = true;
-        job.request = install;
-        enqueue(std::move(job));
-    }
+    install();
     for (const auto& [_, pending] : pending_) pending->bell.ring();
     pingAll();  // who answers as one of it is in contact
     owner_.moved();
 }
 
+// The newest epoch that is known to be open goes on this disk, and again where that has refused it: until
+// then this copy answers nothing of it.
+void Keeper::install() {
+    if (epoch_.number == 0 || stands()) return;
+    reg::Request request;
+    request.kind = reg::Request::Kind::install, request.epoch = epoch_.number, request.to = epoch_;
+    request.open = true;
+    Job job;
+    job.request = std::move(request);
+    enqueue(std::move(job));
+}
+
+bool Keeper::stands() const {
+    const auto& own = copy_.standing();
+    return own.open && own.epoch.number >= epoch_.number;
+}
+
 // Whoever holds less than another reads: a change of the members lifts ballots too, and no writer tells of
 // that.
 void Keeper::heardHolds(Peer& peer, const Json& held) {
@@ -413,16 +434,28 @@
     message.at("disk").get_to(peer.member.disk);
     if (message.at("of").get_ref<const std::string&>() != copy_.disk() || !open_) return;
     if (message.at("seen").get<std::uint64_t>() > writes_) return renew("others saw a later life of it");
-    if (!confirmed_) confirmedBy_.insert(at), confirm();
+    if (!confirmed_) confirmedBy_[at] = peer.member.disk, confirm();
     if (formed() && !contact_ && !reading_ && reachable()) start(io_, "register", readAll());
 }
 
+// Whether a majority of an epoch that is decided has answered of late, with the disks that it names.
+bool Keeper::answers(const reg::Epoch& epoch) const {
+    std::size_t heard = 0;
+    for (const auto& member : epoch.members) {
+        const auto peer = peers_.find(member.address);
+        if (member.address == me_) heard += open_ && confirmed_ && copy_.disk() == member.disk;
+        else if (peer != peers_.end() && peer->second.member.disk == member.disk)
+            heard += now() - peer->second.heardAt <= standsByFor;
+    }
+    return heard >= epoch.majority();
+}
+
 bool Keeper::reachable() const {
     if (epoch_.members.empty()) return false;
     std::size_t heard = 0;
     for (const auto& member : epoch_.members) {
         if (member.address == me_) {
-            heard += confirmed_ && copy_.member(epoch_);
+            heard += confirmed_ && copy_.member(epoch_) && stands();
             continue;
         }
         const auto peer = peers_.find(member.address);
@@ -486,14 +519,23 @@
         accept.key = key, accept.ballot = known.ballot, accept.value = known.value;
         job.request = accept;
     } else {
-        if (copy_.member(copy_.standing().epoch)) return;  // sealed: nothing more goes into it
-        auto cell = held(key);
-        cell.promised = std::max(cell.promised, copy_.cell(key).promised);
-        job.update.cells[key] = std::move(cell);
+        if (!keeps(key) || !keeping_.insert(key).second) return;
+        job.kept = key;
     }
     enqueue(std::move(job));
 }
 
+// What a learner's disk is to hold of a key, as of now: nothing where it holds as much, or has become a
+// member meanwhile. Asked again when its turn to be written has come: a member's cells change by requests
+// alone.
+std::optional<reg::Cells> Keeper::keeps(const std::string& key) const {
+    auto cell = held(key);
+    if (copy_.member(copy_.standing().epoch) || copy_.cell(key).accepted >= cell.accepted)
+        return std::nullopt;
+    cell.promised = std::max(cell.promised, copy_.cell(key).promised);
+    return reg::Cells{{key, std::move(cell)}};
+}
+
 // ---- Runs at keys. ----
 
 // Sends what a run or a change of the members asks now: to all that it asks, or to `only` one address.
@@ -671,14 +713,20 @@
         if (peer.member.address.empty() || peer.member.disk.empty() || (anyEligible && !peer.eligible))
             continue;
         const bool seated = epoch_.number > 0 && epoch_.find(peer.member.address, peer.member.disk);
-        // One that was out of reach while contact was lost has had no chance to be heard.
-        const Nanos quiet = now() - std::max(peer.heardAt, seated ? contactSince_ : 0);
+        // One that was out of reach while contact was lost, or was given a seat by others, has had no chance
+        // to be heard.
+        const Nanos quiet = now() - std::max(peer.heardAt, seated ? std::max(contactSince_, epochSince_) : 0);
         all.push_back({peer.member, whole([&](const auto& key) {
                            const auto at = peer.held.find(key);
                            return at == peer.held.end() ? reg::Ballot{} : at->second;
                        }),
                        !peer.leaving && quiet <= (seated ? absentAfter : standsByFor)});
     }
+    // A member not heard of since this prompter began.
+    if (epoch_.number > 0 && now() - std::max(contactSince_, epochSince_) <= absentAfter)
+        for (const auto& member : epoch_.members)
+            if (member.address != me_ && !peers_.contains(member.address))
+                all.push_back({member, false, true});
     return all;
 }
 
@@ -693,6 +741,9 @@
     changing_ = true;
     const auto from = epoch_;
     const reg::Epoch to{from.number + 1, std::move(members)};
+    Json names = Json::array();
+    for (const auto& member : to.members) names.push_back(member.address);
+    log("members_proposed", {{"epoch", to.number}, {"members", names}});
     const auto value = membership::write(to).dump();
     const reg::Change first = [value](const std::string& held) { return held.empty() ? value : held; };
     const auto decided = co_await change(reg::successorKey(from), first, changeWithin, false);
@@ -700,7 +751,7 @@
     if (decided && epoch_.number == from.number) {
         successor_ = {from, membership::readEpoch(Json::parse(*decided))};
         successorSince_ = now();
-        done = co_await succeed(successor_->first, successor_->second);
+        if (answers(successor_->second)) done = co_await succeed(successor_->first, successor_->second);
     }
     changing_ = false;
     co_return done;
@@ -735,6 +786,8 @@
     std::mt19937 chance(static_cast<unsigned>(now()) ^ number(me_));
     if (successor_) {
         if (now() - successorSince_ < deferFor / 2 + static_cast<Nanos>(chance() % 200) * ms) co_return;
+        // The seal can't be taken back: not before those who are to go on are there.
+        if (!copy_.standing().next && !answers(successor_->second)) co_return;
         changing_ = true;
         const auto [from, to] = *successor_;
         if (!co_await succeed(from, to)) successorSince_ = now();
@@ -742,6 +795,16 @@
         co_return;
     }
     if (!reachable() || !copy_.member(epoch_) || (formed() && !contact_)) co_return;
+    // One that this disk has accepted and nobody ended: it may be decided, and must not come as a surprise.
+    const auto& halfway = copy_.cell(reg::successorKey(epoch_));
+    if (halfway.accepted.round > 0) {
+        if (halfwaySince_ == 0) halfwaySince_ = now();
+        if (now() - halfwaySince_ < deferFor + static_cast<Nanos>(chance() % 200) * ms) co_return;
+        halfwaySince_ = 0;
+        co_await propose(membership::readEpoch(Json::parse(halfway.value)).members);
+        co_return;
+    }
+    halfwaySince_ = 0;
     const auto target = planned(false);
     if (target.empty() || (formed() && target == epoch_.members)) {
         wantedSince_ = 0;
@@ -758,9 +821,6 @@
     const auto turn = company::chosen(present, "members", 1);
     if (!turn.empty() && turn.front() != me_ && now() - wantedSince_ < deferFor) co_return;
     wantedSince_ = 0;
-    Json names = Json::array();
-    for (const auto& member : target) names.push_back(member.address);
-    log("members_proposed", {{"epoch", epoch_.number + 1}, {"members", names}});
     co_await propose(target);
 }
 
@@ -800,11 +860,25 @@
     owner_.moved();
 }
 
+void Keeper::tellUnborne() {
+    std::string unborne;
+    if (formed())
+        for (const auto& one : membership::notBorne(epoch_.members, tolerance()))
+            unborne += (unborne.empty() ? "" : ", ") + one;
+    if (unborne != std::exchange(unborne_, unborne))
+        log(unborne.empty() ? "borne" : "not_borne",
+            {{"epoch", epoch_.number}, {"loss_of", unborne}, {"members", epoch_.members.size()}});
+}
+
 Task<> Keeper::maintain() {
-    for (Nanos pinged = 0;;) {
+    for (Nanos pinged = 0, planned = 0;;) {
         co_await sleep(maintainEvery);
         if (!open_) continue;
-        if (now() - pinged >= pingEvery) pinged = now(), pingAll();
+        if (now() - pinged >= pingEvery) {
+            pinged = now(), pingAll();
+            if (confirmed_ && jobs_.empty() && !working_) install();
+            tellUnborne();
+        }
         confirm();
         const bool reached = formed() && reachable();
         if (!reached) {
@@ -816,31 +890,37 @@
         } else if (!contact_ && !reading_) {
             start(io_, "register", readAll());
         }
-        if (!changing_) start(io_, "members", steward());
-        std::string unborne;
-        if (formed())
-            for (const auto& one : membership::notBorne(epoch_.members, tolerance()))
-                unborne += (unborne.empty() ? "" : ", ") + one;
-        if (unborne != std::exchange(unborne_, unborne))
-            log(unborne.empty() ? "borne" : "not_borne",
-                {{"epoch", epoch_.number}, {"loss_of", unborne}, {"members", epoch_.members.size()}});
+        const bool pending = !contact_ || successor_ || wantedSince_ > 0 || halfwaySince_ > 0;
+        if (!changing_ && (pending || now() - planned >= planEvery))
+            planned = now(), start(io_, "members", steward());
         if (!contact_) continue;
-        for (const auto& key : keys) {
-            const auto accepted = acceptedAt_.find(key);
-            const bool unlearnt = accepted != acceptedAt_.end() && now() - accepted->second > unlearntFor;
-            const auto rumour = rumoured_.find(key);
-            const bool behind = rumour != rumoured_.end() && rumour->second > known(key).ballot;
-            if (!unlearnt && !behind) {
-                if (!working_) retain(key);
-                continue;
-            }
-            const auto value = co_await read(key, second);
-            if (!value) continue;
-            if (const auto at = acceptedAt_.find(key);
-                at != acceptedAt_.end() && now() - at->second > unlearntFor)
-                acceptedAt_.erase(at);
-        }
+        for (const auto& key : keys)
+            if (!behind(key) && !working_) retain(key);
+        if (!catching_ && std::any_of(keys.begin(), keys.end(), [&](const auto& key) { return behind(key); }))
+            start(io_, "register", catchUp());
+    }
+}
+
+// Whether another may know more: a value was taken here whose end was not told, or is told to be held
+// somewhere. While this copy is sealed, no read could end.
+bool Keeper::behind(const std::string& key) const {
+    if (copy_.standing().next) return false;
+    const auto accepted = acceptedAt_.find(key);
+    const bool unlearnt = accepted != acceptedAt_.end() && now() - accepted->second > unlearntFor;
+    const auto rumour = rumoured_.find(key);
+    return unlearnt || (rumour != rumoured_.end() && rumour->second > known(key).ballot);
+}
+
+// Never waited for by the looks at contact and members.
+Task<> Keeper::catchUp() {
+    catching_ = true;
+    for (const auto& key : keys) {
+        if (!behind(key) || !co_await read(key, second)) continue;
+        if (const auto at = acceptedAt_.find(key);
+            at != acceptedAt_.end() && now() - at->second > unlearntFor)
+            acceptedAt_.erase(at);
     }
+    catching_ = false;
 }
 
 Json Keeper::describe() const {
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -82,6 +82,8 @@
         std::optional<reg::Request> request;
         std::function<void(const reg::Reply&)> reply;
         reg::Update update;
+        std::optional<std::string>
+            kept;  // a key that a learner keeps: what of it, is seen when its turn comes
         std::map<std::string, std::string> notes;
         std::function<void()> after;
     };
@@ -100,6 +102,11 @@
     void learn(const std::string& key, const reg::Ballot& ballot, const std::string& value);
     void inForce(const std::string& key, const reg::Ballot& ballot);
     void retain(const std::string& key);
+    std::optional<reg::Cells> keeps(const std::string& key) const;
+    void install();
+    void tellUnborne();
+    bool stands() const;  // the newest epoch known to be open is on this disk
+    bool answers(const reg::Epoch& epoch) const;
     reg::Member self() const;
     Json holds() const;
     Json about() const;
@@ -123,6 +130,8 @@
     Task<bool> succeed(reg::Epoch from, reg::Epoch to);
     Task<> steward();
     Task<> readAll();
+    bool behind(const std::string& key) const;
+    Task<> catchUp();
     void ask(std::uint64_t id, const Pending& pending, const std::string* only);
     void answered(std::uint64_t id, const std::string& from, const Json& about, const reg::Reply& reply);
     std::uint32_t number(const std::string& address) const;
@@ -144,14 +153,15 @@
     std::uint64_t writes_ = 0;  // of this disk, ever
     reg::Epoch epoch_;          // newest known to be open; of number 0: the founding, or none known
     std::optional<std::pair<reg::Epoch, reg::Epoch>> successor_;  // decided, not known to be open
-    Nanos successorSince_ = 0, wantedSince_ = 0, contactSince_ = 0;
+    Nanos successorSince_ = 0, halfwaySince_ = 0, wantedSince_ = 0, contactSince_ = 0, epochSince_ = 0;
     const Nanos began_;
-    bool contact_ = false, leaving_ = false, changing_ = false, reading_ = false, metOnce_ = false;
+    bool contact_ = false, leaving_ = false, changing_ = false, reading_ = false, catching_ = false;
+    bool metOnce_ = false;
     std::string unborne_;
     Json aboutTold_;                     // what all who are linked were last told of this prompter
     std::map<std::string, Peer> peers_;  // by address
-    std::map<std::string, std::uint64_t> witnessed_;  // by disk: its writes, as others have told them
-    std::set<std::string> confirmedBy_;
+    std::map<std::string, std::uint64_t> witnessed_;      // by disk: its writes, as others have told them
+    std::map<std::string, std::string> confirmedBy_;      // address and disk of those who saw no later life
     std::map<std::string, std::shared_ptr<Link>> links_;  // by address, that replies come back on
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t runs_ = 0;
@@ -159,6 +169,7 @@
     std::map<std::string, Known> known_;
     std::map<std::string, reg::Ballot> inForce_;   // told to be
     std::map<std::string, reg::Ballot> rumoured_;  // told to be held somewhere
+    std::set<std::string> keeping_;                // kept ones that wait for the disk
     std::map<std::string, Nanos> acceptedAt_;      // own cells accepted and not yet learnt
 };
 
