Catching-up test: played on the keepers' stage; its own disks, members and loop are gone

Cause: catching_up.cpp had a second Disk, Book, Member and until beside keeper_stage.hpp's, to be changed with each change there. Change: Cast plays it. A member tells what it hears (overheard); machines that go down hand their disks to a second cast. The third's hello at the two others counts too: it was heard before its sender was known.

--- a/tests/gateway/catching_up.cpp
+++ b/tests/gateway/catching_up.cpp
@@ -6,16 +6,12 @@
 
 #include "callboard/callboard.hpp"
 #include "cues/cues.hpp"
+#include "keeper_stage.hpp"
 #include "playbill/playbill.hpp"
-#include "prompter/keeper.hpp"
-#include "transcript.hpp"
-#include "wings/link.hpp"
 #include "wings/pack.hpp"
 
-using namespace lichenlanding;
-using namespace lichenlanding::wings;
+using namespace keeper_stage;
 using callboard::Callboard;
-using prompter::Keeper;
 
 namespace {
 
@@ -24,121 +20,6 @@
     void add(const Json& message) { ++messages, bytes += Link::pack(message)->size(); }
 };
 
-struct Disk {
-    std::map<std::string, reg::Cell> cells;
-    std::map<std::string, std::string> notes;
-};
-
-struct MemoryBook final : promptbook::Book {
-    explicit MemoryBook(Disk& disk_) : disk(disk_) {}
-    std::map<std::string, reg::Cell> cells() const override { return disk.cells; }
-    std::string note(const std::string& name) const override {
-        const auto at = disk.notes.find(name);
-        return at == disk.notes.end() ? "" : at->second;
-    }
-    void write(const std::map<std::string, reg::Cell>& cells,
-               const std::map<std::string, std::string>& notes) override {
-        for (const auto& [key, cell] : cells)
-            if (cell == reg::Cell{}) disk.cells.erase(key);
-            else disk.cells[key] = cell;
-        for (const auto& [name, note] : notes) disk.notes[name] = note;
-    }
-    Disk& disk;
-};
-
-struct Member {
-    Member(asio::io_context& io, int number, int port, Disk& disk, bool bootstrap) {
-        boot.name = boot.ip = "127.0.4." + std::to_string(number);
-        boot.internalPorts = {port}, boot.machinesLost = 1, boot.bootstrap = bootstrap;
-        boot.quorumMember = true;
-        for (int seed = 1; seed <= 3; ++seed) boot.seeds.push_back("127.0.4." + std::to_string(seed) + ":1");
-        keeper = std::make_unique<Keeper>(io, boot, Keeper::Owner{[](const std::string&) {}, [] {}},
-                                          [&disk](bool anew) {
-                                              if (anew) disk = {};
-                                              return std::make_unique<MemoryBook>(disk);
-                                          });
-        owner = std::make_shared<Link::Owner>();
-        owner->greet = [this](Link&) {
-            auto hello = keeper->greeting();
-            hello.update({{"t", "hello"}, {"at", at()}});
-            return hello;
-        };
-        owner->heard = [this](Link& link, const Json& message) {
-            // Pings say that one is there, whatever there is to catch up with.
-            if (counted(link) && message.at("t") != "ping" && message.at("t") != "pong") heard.add(message);
-            if (message.at("t") != "hello") return void(keeper->heard(link, message));
-            message.at("at").get_to(link.peer);
-            const auto dialer = dialers.find(link.peer);
-            if (dialer != dialers.end() && dialer->second->link().get() == &link)
-                keeper->joined(link.peer, link.shared_from_this());
-            keeper->greeted(message);
-        };
-        owner->closed = [this](Link& link) {
-            const auto dialer = dialers.find(link.peer);
-            if (dialer != dialers.end() && !dialer->second->link()) keeper->parted(link.peer);
-        };
-        door = std::make_unique<tcp::acceptor>(listen(io, at()));
-        keeper->open();
-        start(io, "links", serveLinks(io, *door, owner));
-        start(io, "maintain", keeper->maintain());
-        for (int other = 1; other <= 3; ++other) {
-            if (other == number) continue;
-            const auto address = boot.internal("127.0.4." + std::to_string(other));
-            dialers[address] = std::make_shared<Dialer>(io, address, owner);
-            dialers[address]->go();
-        }
-    }
-    std::string at() const { return boot.internal(boot.ip); }
-    // Between the third and the others; what these say to each other has nothing to do with it.
-    bool counted(const Link& link) const { return boot.ip.back() == '3' || hostOf(link.peer).back() == '3'; }
-
-    playbill::Boot boot;
-    std::unique_ptr<Keeper> keeper;
-    std::shared_ptr<Link::Owner> owner;
-    std::map<std::string, std::shared_ptr<Dialer>> dialers;
-    std::unique_ptr<tcp::acceptor> door;
-    Cost heard;
-};
-
-// Three machines whose disks outlive their processes.
-class Machines {
-  public:
-    Machines() {
-        asio::io_context io_{1};
-        tcp::acceptor free(listen(io_, "127.0.0.1:0"));
-        port = free.local_endpoint().port();
-    }
-    ~Machines() { stop(); }
-    void run(int number, bool bootstrap = false) {
-        members[number] = std::make_unique<Member>(*io, number, port, disks[number], bootstrap);
-    }
-    void stop() {
-        io->stop();
-        members.clear();
-        io = std::make_unique<asio::io_context>(1);
-    }
-    template <typename Done>
-    void until(Done done) {
-        while (!done())
-            CPPUNIT_ASSERT_MESSAGE("nothing happens any more", io->run_one_for(std::chrono::seconds(8)) > 0);
-    }
-    void change(int number, const std::string& value) {
-        bool done = false;
-        const reg::Change put = [value](const std::string&) { return value; };
-        start(*io, "change", [](Keeper& keeper, reg::Change put_, bool& done_) -> Task<> {
-            while (!co_await keeper.change(prompter::configurationKey, put_, second)) {
-            }
-            done_ = true;
-        }(*members.at(number)->keeper, put, done));
-        until([&] { return done; });
-    }
-
-    int port = 0;
-    std::unique_ptr<asio::io_context> io = std::make_unique<asio::io_context>(1);
-    std::map<int, Disk> disks;
-    std::map<int, std::unique_ptr<Member>> members;
-};
-
 // A value that squeezes to nothing much, of one size whichever change it is.
 std::string valueOf(int change) {
     std::string value(20'000, 'v');
@@ -213,6 +94,18 @@
     CPPUNIT_TEST(largeConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
+    static const std::string& value(const Member& member) {
+        return member.keeper->known(prompter::configurationKey).value;
+    }
+    static bool votes(Cast& cast, const std::vector<int>& all) {
+        return cast.inContact(all) &&
+               std::all_of(all.begin(), all.end(), [&](int at) { return cast.keeper(at).votes(); });
+    }
+    // Asked again where there is no contact yet.
+    static void change(Cast& cast, int at, const std::string& to) {
+        cast.until("a change is taken", [&] { return cast.write(at, to, second) == to; });
+    }
+
   public:
     // The third of three machines is away while the two others take all changes. It comes back with its old
     // disk, or an empty one, and knows the newest: what it and they heard until then is counted.
@@ -220,48 +113,37 @@
         for (const bool empty : {false, true}) {
             std::vector<Cost> costs;
             for (const int count : changes) {
-                Machines machines;
-                for (int number = 1; number <= 3; ++number) machines.run(number, true);
-                machines.until([&] {
-                    return std::all_of(
-                        machines.members.begin(), machines.members.end(), [](const auto& member) {
-                            return member.second->keeper->inContact() && member.second->keeper->votes();
-                        });
-                });
-                machines.change(1, valueOf(0));
-                machines.until([&] {  // all three have it
-                    return std::all_of(
-                        machines.members.begin(), machines.members.end(), [](const auto& member) {
-                            return !member.second->keeper->known(prompter::configurationKey).value.empty();
-                        });
-                });
-                machines.stop();
-                for (int number = 1; number <= 2; ++number) machines.run(number);
-                for (int change = 1; change <= count; ++change)
-                    machines.change(1 + change % 2, valueOf(change));
-                if (empty) machines.disks[3] = {};
-                const auto all = [&] {
-                    Cost sum;
-                    for (const auto& [_, member] : machines.members)
-                        sum.messages += member->heard.messages, sum.bytes += member->heard.bytes;
-                    return sum;
-                };
-                // What the two had to say to each other is over.
-                machines.until([&] {
-                    return machines.members[1]->keeper->known(prompter::configurationKey).value ==
-                               valueOf(count) &&
-                           machines.members[2]->keeper->known(prompter::configurationKey).value ==
-                               valueOf(count);
-                });
-                const auto before = all();
-                machines.run(3);
-                machines.until([&] {
-                    return machines.members[3]->keeper->known(prompter::configurationKey).value ==
-                               valueOf(count) &&
-                           machines.members[3]->keeper->votes() && machines.members[3]->keeper->inContact();
+                Cast machines(3);
+                {
+                    Cast before(3, 3);
+                    before.until("all three vote", [&] { return votes(before, {0, 1, 2}); });
+                    change(before, 0, valueOf(0));
+                    before.until("all three have it", [&] {
+                        return std::all_of(before.members.begin(), before.members.end(),
+                                           [&](const auto& member) { return !value(*member).empty(); });
+                    });
+                    // They go down; their disks outlive them.
+                    machines.port = before.port, machines.disks.swap(before.disks);
+                }
+                for (const int at : {0, 1}) machines.launch(at, false);
+                for (int number = 1; number <= count; ++number) change(machines, number % 2, valueOf(number));
+                if (empty) machines.disks[2].restore({});
+                const auto newest = valueOf(count);
+                machines.until("what the two had to say to each other is over", [&] {
+                    return value(*machines.members[0]) == newest && value(*machines.members[1]) == newest;
                 });
-                const auto after = all();
-                costs.push_back({after.messages - before.messages, after.bytes - before.bytes});
+                machines.launch(2, false);
+                auto& cost = costs.emplace_back();
+                const auto third = machines.members[2]->at();
+                for (const auto& member : machines.members)
+                    member->overheard = [&cost, third, all = member->at() == third](const Link& link,
+                                                                                    const Json& message) {
+                        // Pings say that one is there, whatever there is to catch up with.
+                        const bool ping = message.at("t") == "ping" || message.at("t") == "pong";
+                        if ((all || link.peer == third) && !ping) cost.add(message);
+                    };
+                machines.until("the third knows the newest",
+                               [&] { return value(*machines.members[2]) == newest && votes(machines, {2}); });
             }
             // Rounds that meet one another begin anew, so counts differ a little from run to run.
             flat(empty ? "prompter, empty disk" : "prompter, old disk", costs, 100, 15 * valueOf(0).size());
--- a/tests/gateway/keeper_stage.hpp
+++ b/tests/gateway/keeper_stage.hpp
@@ -93,8 +93,10 @@
         };
         owner->heard = [this](Link& link, const Json& message) {
             if (cut || gone) return;  // a cut says nothing: links stay up, words are lost
-            if (message.at("t") != "hello") return void(keeper->heard(link, message));
-            message.at("at").get_to(link.peer);
+            const bool hello = message.at("t") == "hello";
+            if (hello) message.at("at").get_to(link.peer);
+            if (overheard) overheard(link, message);
+            if (!hello) return void(keeper->heard(link, message));
             const auto dialer = dialers.find(link.peer);
             if (dialer != dialers.end() && dialer->second->link().get() == &link)
                 keeper->joined(link.peer, link.shared_from_this());
@@ -130,6 +132,7 @@
     Disk& disk;
     playbill::Boot boot;
     bool cut = false, gone = false;
+    std::function<void(const Link&, const Json&)> overheard;  // of each message, once its sender is known
     std::unique_ptr<Keeper> keeper;
     std::shared_ptr<Link::Owner> owner;
     std::map<std::string, std::shared_ptr<Dialer>> dialers;
