A prompter that answers no ping is heard no more: duties pass on after a second, not after two

Cause: a duty was taken once the holder's link was given up: 2.1 s after a loss of power or a cut. An epoch that another opened was told to the others by the next ping; a member between install and open had itself for out of reach. Change: whom a prompter hears are those that answered a ping within control_contact (1 s), told within 100 ms of a change. A pong that names an older epoch is answered with the newer one, and whoever takes part in a change tells it when it is open. A copy that is ahead counts.

--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -358,7 +358,7 @@
 
 bool Keeper::stands() const {
     const auto& own = copy_.standing();
-    return own.open && own.epoch.number >= epoch_.number;
+    return own.epoch.number > epoch_.number || (own.epoch.number == epoch_.number && own.open);
 }
 
 // Whoever holds less than another reads: a change of the members lifts ballots too, and no writer tells of
@@ -469,6 +469,12 @@
     return heard >= epoch_.majority();
 }
 
+bool Keeper::hears(const std::string& address) const {
+    const auto peer = peers_.find(address);
+    return links_.contains(address) && peer != peers_.end() && peer->second.answeredAt > 0 &&
+           now() - peer->second.answeredAt <= boot_.controlContact;
+}
+
 void Keeper::joined(const std::string& to, std::shared_ptr<Link> link) {
     for (const auto& [id, pending] : pending_) {
         links_[to] = link;
@@ -684,6 +690,7 @@
         if (message.at("epoch").get<std::uint64_t>() < epoch_.number) link.send(standing());
     } else if (kind == "pong") {
         pong(message);
+        if (message.at("epoch").get<std::uint64_t>() < epoch_.number) link.send(standing());
     } else if (kind == "standing") {
         follow(message);
     } else {
@@ -776,7 +783,7 @@
     pending_.erase(id);
     const bool done = succession.step() == Step::done;
     if (done && epoch_.number < to.number) adopt(to);
-    if (done) tellStanding();
+    if (epoch_.number == to.number) tellStanding();
     co_return done;
 }
 
--- a/src/prompter/keeper.hpp
+++ b/src/prompter/keeper.hpp
@@ -69,6 +69,7 @@
     bool votes() const { return confirmed_ && copy_.counts(); }  // this copy is part of majorities
     std::set<std::string> members() const;                       // addresses
     const reg::Epoch& epoch() const { return epoch_; }
+    bool hears(const std::string& address) const;  // that prompter has answered a ping of late
     std::size_t reached() const { return links_.size(); }
     Json describe() const;  // for `status`: epoch, members, contact, what is not borne
     // Keeps contact, members and what is known up to date; once the disk is open.
--- a/src/prompter/prompter.cpp
+++ b/src/prompter/prompter.cpp
@@ -18,7 +18,7 @@
 
 using namespace wings;
 
-constexpr Nanos tellKnownEvery = 500 * ms;
+constexpr Nanos tellKnownEvery = 500 * ms, lookEvery = 100 * ms;
 constexpr Nanos rosterAfter = 400 * ms;
 
 std::uint64_t drawnLife() {
@@ -230,9 +230,14 @@
         pinRollouts();
     }
 
+    // At once where another comes to be heard, or is heard no more: a duty waits for that.
     Task<> tellKnown() {
-        for (;;) {
-            co_await sleep(tellKnownEvery);
+        std::set<std::string> told;
+        for (Nanos at = 0;;) {
+            co_await sleep(lookEvery);
+            auto heard = hears();
+            if (heard == told && now() - at < tellKnownEvery) continue;
+            at = now(), told = std::move(heard);
             sayKnown();
         }
     }
@@ -256,7 +261,7 @@
     std::set<std::string> hears() const {
         std::set<std::string> all;
         for (const auto& [address, dialer] : dialers)
-            if (dialer && dialer->link()) all.insert(address);
+            if (dialer && dialer->link() && keeper.hears(address)) all.insert(address);
         return all;
     }
 
--- a/tests/gateway/membership.cpp
+++ b/tests/gateway/membership.cpp
@@ -214,6 +214,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string("one"), cast.write(0, "one"));
         cast.members[0]->cut = true;
         cast.until("it knows", [&] { return !cast.keeper(0).inContact(); });
+        // So do the others, long before its links are given up.
+        const auto silent = cast.members[0]->at();
+        cast.until("it is heard no more",
+                   [&] { return !cast.keeper(1).hears(silent) && !cast.keeper(2).hears(silent); });
+        CPPUNIT_ASSERT(cast.keeper(1).hears(cast.members[2]->at()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), cast.keeper(1).reached());
         CPPUNIT_ASSERT_EQUAL(std::string("-"), cast.write(0, "lost", 3600 * second));
         CPPUNIT_ASSERT_EQUAL(std::string("-"),
                              cast.change(
