Casting: a pod at which nothing is out owes nothing, however its last send ended

Cause: after `cut`, `spoilt` or `unreached` with nothing else out, `owes` kept the time of that send. 900 ms later the pod counted as mute and was drawn only where no other of its service was usable: one failed connect took it out of use at that foyer mostly for good.

Change: `owes` is cleared whenever the last send that is out ends. Rests and cuts in a row stay what they were.

Measured: CastingTest::owesNothing, red before (a pod of four, unreached once, drawn 0 times of 50 after 2 s), passes for unreached, cut, spoilt and overdue.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -380,9 +380,10 @@
 void Casting::ended(Try& request, Attempt& attempt, Event end, int status, Nanos took, Nanos now) {
     attempt.on(end);
     auto& actor = *attempt.actor();
-    --actor.out;
-    if (end == Event::answered || end == Event::turned || end == Event::elsewhere)
-        actor.owes = actor.out > 0 ? now : 0;
+    // Where nothing is out nothing is owed, however it ended: else a pod that failed once would count as mute
+    // until it is drawn for want of others.
+    if (--actor.out == 0) actor.owes = 0;
+    else if (end == Event::answered || end == Event::turned || end == Event::elsewhere) actor.owes = now;
     const auto rest = [&](Nanos first) {
         actor.restUntil = now + std::min(first << std::min(actor.failures, 5), restAtMost);
     };
@@ -397,7 +398,6 @@
     } else if (++actor.failures >= cutsInRow) {
         rest(restFirst);
     }
-    if (end == Event::overdue && actor.out == 0) actor.owes = 0;
     const bool failed = end == Event::cut || end == Event::spoilt || end == Event::overdue ||
                         (end == Event::answered && status >= 500);
     const auto& route = *request.route;
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(neverBack);
     CPPUNIT_TEST(silence);
+    CPPUNIT_TEST(owesNothing);
     CPPUNIT_TEST(fullZone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -387,5 +388,24 @@
         }
         CPPUNIT_ASSERT(again);
     }
+
+    // A pod at which nothing is out owes nothing, however its last send ended: after its rest it is drawn
+    // again like any other.
+    void owesNothing() {
+        for (const auto end : {Event::unreached, Event::cut, Event::spoilt, Event::overdue}) {
+            Room room;
+            auto failed = room.begin(writing);
+            const auto pod = room.send(failed);
+            room.end(failed, end);
+            room.now += 2 * second;
+            int again = 0;
+            for (int at = 0; at < 50; ++at) {
+                auto request = room.begin(reading);
+                again += room.send(request) == pod;
+                room.end(request, Event::answered);
+            }
+            CPPUNIT_ASSERT_MESSAGE(casting::name(end), again > 0);
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CastingTest);
