Casting: a send that is asked for and not to be had is no traffic of a version's share

Cause: next() counted a request for each running order's rehearsal (`all`) before it knew whether there was a pod for it.

Change: counted where a send is made.

Measured: CastingTest::askedForNothing, red before, passes: after 500 askings in vain no more than 2 of 20 requests go to the version in its rehearsal.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -321,12 +321,11 @@
             for (const auto* actor : *place)
                 if (isOf(rollout.target)(actor)) ++there, warmed += warm(**actor, now);
         const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
-        ++trial.all;
         if (stopped || there == 0) continue;
         // The rehearsal: all of the requests for a moment, within what the share has left unused so far. What
         // fails only under load shows here, before it may have all.
         const bool rehearsing = rollout.stage == 1 && now - trial.staged < rehearsalFor &&
-                                trial.sent + 1 <= trial.all * share_ * rehearsalPart + trial.granted;
+                                trial.sent + 1 <= (trial.all + 1) * share_ * rehearsalPart + trial.granted;
         if (!target && (rollout.stage > 1 || rehearsing)) target = &rollout.target;
         if (rollout.stage > 1 || rehearsing || further || warmed == 0) continue;
         // The few get what an earlier pod gets: of the share, and of the grant what that lacks.
@@ -353,6 +352,10 @@
     look(near[from], 2), look(far[from], near[from].empty() ? 2 : 1);
     if (!best) look(resting[0], 2);
     if (!best) return nullptr;
+    // What is asked for and not sent is nothing of which a version would get its share.
+    for (const auto& rollout : rollouts_)
+        if (rollout.service == request.service && rollout.running())
+            ++trials_[rollout.service + "\n" + rollout.target]->all;
     if (side(*best) == Side::fresh) ++trials_[best->listed.service + "\n" + best->listed.version]->sent;
     if (further) spent.cell(now).second += 1;
     if (best->out++ == 0) best->owes = now;
--- a/tests/gateway/casting.cpp
+++ b/tests/gateway/casting.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(neverBack);
     CPPUNIT_TEST(silence);
     CPPUNIT_TEST(owesNothing);
+    CPPUNIT_TEST(askedForNothing);
     CPPUNIT_TEST(fullZone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -407,5 +408,26 @@
             CPPUNIT_ASSERT_MESSAGE(casting::name(end), again > 0);
         }
     }
+
+    // EXPOSURE: asking for a second send that there is none to be had of does not count as traffic, of which
+    // a version on trial would get its share.
+    void askedForNothing() {
+        Room room(1);
+        room.list("n", "v2"), room.list("m", "v2");
+        room.rollout("in_progress");
+        room.now += 3 * second;
+        auto waits = room.begin(reading);
+        room.send(waits);
+        for (int at = 0; at < 500; ++at) CPPUNIT_ASSERT(!room.room->next(waits, room.now));
+        room.rollout("in_progress", 1, 2);  // the rehearsal: all, within the share so far
+        int fresh = 0;
+        for (int at = 0; at < 20; ++at) {
+            auto request = room.begin(writing);
+            const auto sent = room.send(request);
+            fresh += sent != "-" && sent != "p0";
+            if (sent != "-") room.end(request, Event::answered);
+        }
+        CPPUNIT_ASSERT(fresh <= 2);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CastingTest);
