Front: a second send that was not to be had is asked for again

Cause: when next() had none to give (the hedge's half of the budget spent, or no other pod usable), `hedgeAt` stayed the deadline: a read at a silent pod waited for it although budget came back a moment later.

Change: asked for again after half the route's usual time, 50 ms at least (Casting::hedgeAgainAt). Not for uploads and not for what may run once. Scripted pods: the budget's slack can be set.

Measured: TriesTest::secondSendLater, red before (504 at its deadline of 1,500 ms), passes: 200 once 30 other requests have brought budget.

--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -32,10 +32,11 @@
 constexpr int cutsInRow = 3;    // before a pod that breaks answers off rests
 constexpr double learn = 0.15;  // weight of the newest answer in an average
 constexpr double hedgeTypical = 2.3,
-                 hedgeTarget = 0.6;   // a second send after so many usual times, or so much of the target
-constexpr Nanos leastLeft = 15 * ms;  // with less time a send is pointless
-constexpr std::int64_t unreachedMore = 2;  // attempts beyond max_attempts, where pods are not reached
-constexpr int ownBad = 4;                  // bad answers of a version on trial seen here that stop it here
+                 hedgeTarget = 0.6;  // a second send after so many usual times, or so much of the target
+constexpr Nanos hedgeAgainAtLeast = 50 * ms;  // after a second send that was not to be had
+constexpr Nanos leastLeft = 15 * ms;          // with less time a send is pointless
+constexpr std::int64_t unreachedMore = 2;     // attempts beyond max_attempts, where pods are not reached
+constexpr int ownBad = 4;                     // bad answers of a version on trial seen here that stop it here
 constexpr double ownBadPart = 0.3;
 constexpr Nanos comeBack = 150 * ms;
 constexpr double linesPart = 0.8;  // of a pod's connections, that foyers share
@@ -372,6 +373,13 @@
     return std::min(request.deadline, sentAt + static_cast<Nanos>(after));
 }
 
+Nanos Casting::hedgeAgainAt(const Try& request, Nanos now) const {
+    if (!request.route->repeatable) return request.deadline;
+    const auto at = typical_.find(request.route->name);
+    const double usual = at == typical_.end() ? static_cast<double>(request.route->target) / 3 : at->second;
+    return std::min(request.deadline, now + std::max(static_cast<Nanos>(usual / 2), hedgeAgainAtLeast));
+}
+
 void Casting::reported(Actor& actor, int running, int waiting, Nanos now) {
     actor.held = running + waiting, actor.heldOut = actor.out, actor.heldAt = now;
     const double slots = std::max(actor.listed.slots, 1);
--- a/src/casting/casting.hpp
+++ b/src/casting/casting.hpp
@@ -84,6 +84,8 @@
     std::shared_ptr<Attempt> next(Try& request, Nanos now);
     // Whether a second send beside one that is out would be worth it, and when to ask.
     Nanos hedgeAt(const Try& request, Nanos sentAt) const;
+    // When to ask again, where next() has had none to give for now.
+    Nanos hedgeAgainAt(const Try& request, Nanos now) const;
     // Tells the attempt how it ended; `status` of the answer, 0 without one. Throws as Attempt::on().
     void ended(Try& request, Attempt& attempt, Event end, int status, Nanos took, Nanos now);
     void reported(Actor& actor, int running, int waiting, Nanos now);
--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -531,6 +531,9 @@
                 looked.push_back(false);
                 hedgeAt = exchange->upload ? way.deadline : casting_.hedgeAt(way, now());
                 start(io_, "send", send(session, exchange, call));
+            } else if (!exchange->upload) {
+                // For want of budget or of pods, and maybe not for long.
+                hedgeAt = casting_.hedgeAgainAt(way, now());
             }
         }
         wanted = false;
--- a/tests/gateway/scripted_pods.cpp
+++ b/tests/gateway/scripted_pods.cpp
@@ -88,8 +88,9 @@
     return all;
 }
 
-House::House(Script script_, const std::vector<std::string>& pods) : script(std::move(script_)) {
-    boot_.zone = "z", boot_.budgetSlack = 1e6;
+House::House(Script script_, const std::vector<std::string>& pods, double slack)
+    : script(std::move(script_)) {
+    boot_.zone = "z", boot_.budgetSlack = slack;
     casting = std::make_unique<casting::Casting>(boot_, 1);
     casting->take(std::make_shared<playbill::Playbill>(playbill::Playbill::read(configuration())));
     casting->company(1, now() - 10 * second);
--- a/tests/gateway/scripted_pods.hpp
+++ b/tests/gateway/scripted_pods.hpp
@@ -55,7 +55,7 @@
 
 class House {
   public:
-    explicit House(Script script, const std::vector<std::string>& pods = {"A", "B"});
+    explicit House(Script script, const std::vector<std::string>& pods = {"A", "B"}, double slack = 1e6);
     ~House();
 
     std::shared_ptr<Client> client(const std::string& bytes = "", const std::vector<std::string>& ids = {});
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(clientsGone);
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(secondSend);
+    CPPUNIT_TEST(secondSendLater);
     CPPUNIT_TEST(expectations);
     CPPUNIT_TEST(largeBodies);
     CPPUNIT_TEST(smuggled);
@@ -360,6 +361,30 @@
         }
     }
 
+    // A second send for which there is no budget goes once there is.
+    void secondSendLater() {
+        House house(
+            [](const Arrival& arrival) {
+                if (arrival.id == "slow" && arrival.number == 1) return Reply{"", Reply::silent};
+                return Reply{ok()};
+            },
+            {"A", "B"}, 0);
+        house.repeatable = {"slow"};
+        const auto client = house.client(get("slow", 1500, "", "/quick/1"), {"slow"});
+        house.until([&] { return house.arrivals["slow"] == 1; });
+        const Nanos asked = now() + 40 * ms;  // the second was due after 12 ms
+        house.until([&] { return now() > asked; });
+        CPPUNIT_ASSERT_EQUAL(1, house.arrivals["slow"]);
+        for (int at = 0; at < 30; ++at) {
+            const auto other = house.client(post(idOf(at)), {idOf(at)});
+            house.answered(other);
+        }
+        house.answered(client);
+        CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
+        CPPUNIT_ASSERT_EQUAL(2, house.arrivals["slow"]);
+        house.quiet();
+    }
+
     // Who waits for 100 gets it, once it is its turn.
     void expectations() {
         House house([](const Arrival& arrival) {
