Front: a request's limits are those in force as it begins, also after a rest

Cause: read() took the bounds before it waited for the next request on a resting connection. Limits that were raised meanwhile did not hold for that request: 431 or 413.

Change: taken after the wait. Scripted pods: limits can be changed.

Measured: TriesTest::raisedLimits, red before (431), passes for the header's and the body's limit.

--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -293,12 +293,11 @@
         ready(session, exchange);
     };
     while (!session->dead) {
-        const auto limits = bounds();
         Code code;
         if (session->closing) session->buffer.consume(session->buffer.size());
         if (session->buffer.size() == 0) {
             session->idle = true;
-            if (!session->away) session->readBy = 0, session->rest(now(), limits.idleTimeout);
+            if (!session->away) session->readBy = 0, session->rest(now(), bounds().idleTimeout);
             const auto space = session->buffer.prepare(4096);
             const auto read = co_await session->socket.async_read_some(space, told(code));
             session->idle = false;
@@ -306,6 +305,7 @@
             if (session->closing) continue;
             session->buffer.commit(read);
         }
+        const auto limits = bounds();  // in force as the request begins, after a rest
         auto parser = std::make_shared<http::request_parser<http::buffer_body>>();
         parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser->body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
--- a/tests/gateway/scripted_pods.cpp
+++ b/tests/gateway/scripted_pods.cpp
@@ -15,18 +15,20 @@
     return text;
 }
 
-std::string configuration() {
+std::string configuration(int version, int headerBytes, int bodyBytes) {
     const auto route = [](const char* prefix, const char* kind, const char* target) {
         return std::string(R"({"resource_type":"route_table","metadata":{"name":")") + prefix +
                R"("},"spec":{"hostname":"h","path_prefix":")" + prefix + R"(","route_class":")" + kind +
                R"(","timeout":"20s","target_latency":")" + target +
                R"(","priority":1,"service_name":"s","max_attempts":2}},)";
     };
-    return R"({"config_version":"00000001","resources":[)" + route("/read/", "idempotent", "7s") +
-           route("/quick/", "idempotent", "20ms") + route("/write/", "non_idempotent", "7s") +
+    return R"({"config_version":"0000000)" + std::to_string(version) + R"(","resources":[)" +
+           route("/read/", "idempotent", "7s") + route("/quick/", "idempotent", "20ms") +
+           route("/write/", "non_idempotent", "7s") +
            R"({"resource_type":"service_table","metadata":{"name":"s"},"spec":{"max_connections":200}},)"
-           R"({"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":2048,"max_body_bytes":9000000,)"
-           R"("header_timeout":"3s","idle_timeout":"15s"}}]})";
+           R"({"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":)" +
+           std::to_string(headerBytes) + R"(,"max_body_bytes":)" + std::to_string(bodyBytes) +
+           R"(,"header_timeout":"3s","idle_timeout":"15s"}}]})";
 }
 
 }  // namespace
@@ -92,7 +94,7 @@
     : script(std::move(script_)) {
     boot_.zone = "z", boot_.budgetSlack = slack;
     casting = std::make_unique<casting::Casting>(boot_, 1);
-    casting->take(std::make_shared<playbill::Playbill>(playbill::Playbill::read(configuration())));
+    limit(2048, 9'000'000);
     casting->company(1, now() - 10 * second);
     casting->rollouts({}, now());
     casting->listed();
@@ -119,6 +121,12 @@
     casting->apply({0, {pod, "s", address, "z", "v1", 2, draining, 0}, false}, now());
 }
 
+void House::limit(int headerBytes, int bodyBytes) {
+    const auto version = casting->playbill() ? static_cast<int>(casting->playbill()->version) + 1 : 1;
+    casting->take(std::make_shared<playbill::Playbill>(
+        playbill::Playbill::read(configuration(version, headerBytes, bodyBytes))));
+}
+
 int House::inFlight() const {
     int all = 0;
     for (const auto& [_, actor] : casting->actors()) all += actor->out;
--- a/tests/gateway/scripted_pods.hpp
+++ b/tests/gateway/scripted_pods.hpp
@@ -84,7 +84,8 @@
     void release(const std::string& pod, const std::string& id);  // held replies to it
     void say(const std::string& pod, const std::string& bytes);   // on each of its open connections
     void list(const std::string& pod, bool draining = false);
-    int inFlight() const;  // over all pods, as casting counts
+    void limit(int headerBytes, int bodyBytes);  // a newer configuration
+    int inFlight() const;                        // over all pods, as casting counts
 
     asio::io_context foyerLoop{1}, worldLoop{1};
     std::unique_ptr<casting::Casting> casting;
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(secondSend);
     CPPUNIT_TEST(secondSendLater);
+    CPPUNIT_TEST(raisedLimits);
     CPPUNIT_TEST(expectations);
     CPPUNIT_TEST(largeBodies);
     CPPUNIT_TEST(smuggled);
@@ -385,6 +386,26 @@
         house.quiet();
     }
 
+    // Limits raised while a connection rests hold for its next request.
+    void raisedLimits() {
+        for (const bool header : {true, false}) {
+            House house(each({ok()}), {"A"});
+            house.limit(header ? 1000 : 2000, header ? 9000 : 1000);
+            const auto client = house.client(post("frst"), {"frst"});
+            house.answered(client);
+            house.quiet();
+            house.limit(9000, 9000);
+            const std::string more(3000, 'x');
+            house.write(
+                client,
+                header ? post("next", 4000, "x", "X-More: " + more + "\r\n") : post("next", 4000, more),
+                {"next"});
+            house.answered(client, 2);
+            house.quiet();
+            CPPUNIT_ASSERT_EQUAL(200, client->answers().at(1).status);
+        }
+    }
+
     // Who waits for 100 gets it, once it is its turn.
     void expectations() {
         House house([](const Arrival& arrival) {
