Upstream: a call that was given up before its turn is not written on a kept connection

Cause: `aborted` was looked at after a connect alone. On a kept line an aborted call was written, and so may have run.

Change: looked at first of all. The call ends as it began, unsent, and Front tells `unreached` (surely not run).

By reading, no order of turns was found in which Front brings it about today: a call's coroutine has its first turn before its request's can abort it. It is Call::abort()'s word ("unreached where nothing was written") that holds now.

Measured: TriesTest::leftUnwritten, red before (the pod got it), passes: 0 arrivals, and the refusal is 503.

--- a/src/foyer/upstream.cpp
+++ b/src/foyer/upstream.cpp
@@ -139,6 +139,7 @@
                       bool careful, int linesAtMost, Tail tail) {
     const auto& actor = *call->attempt->actor();
     call->began = now();
+    if (call->aborted) co_return;  // unreached: nobody waits for it, and on a kept line it would be written
     auto line = kept(actor, careful);
     Code code;
     if (!line) {
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(secondSend);
     CPPUNIT_TEST(secondSendLater);
+    CPPUNIT_TEST(leftUnwritten);
     CPPUNIT_TEST(raisedLimits);
     CPPUNIT_TEST(expectations);
     CPPUNIT_TEST(largeBodies);
@@ -386,6 +387,33 @@
         house.quiet();
     }
 
+    // A call that is given up before its turn comes writes nothing, on a kept connection either: its send has
+    // surely not run.
+    void leftUnwritten() {
+        House house(each({ok()}), {"A"});
+        house.answered(house.client(post("frst"), {"frst"}));
+        house.quiet();
+        casting::Try way;
+        CPPUNIT_ASSERT(house.casting->begin(way, "h", "/write/1", now(), second));
+        const auto call = std::make_shared<foyer::Call>(house.casting->next(way, now()));
+        const auto request = std::make_shared<foyer::Request>(foyer::http::verb::post, "/write/1", 11);
+        request->set("X-Attempt-Id", "left");
+        bool back = false;
+        const auto send = [](House& in, std::shared_ptr<foyer::Call> sent,
+                             std::shared_ptr<foyer::Request> its, bool& done) -> Task<> {
+            co_await in.upstream->call(sent, its, now() + second, true, 2);
+            done = true;
+        };
+        call->abort();
+        start(house.foyerLoop, "send", send(house, call, request, back));
+        house.until([&] { return back; });
+        CPPUNIT_ASSERT_EQUAL(0, house.arrivals["left"]);
+        CPPUNIT_ASSERT(call->attempt->state() == casting::State::unsent);
+        house.casting->ended(way, *call->attempt, call->end, 0, 0, now());
+        CPPUNIT_ASSERT_EQUAL(503, house.casting->refusal(way).status);
+        house.quiet();
+    }
+
     // Limits raised while a connection rests hold for its next request.
     void raisedLimits() {
         for (const bool header : {true, false}) {
