Front: idle connections are cancelled as we leave, not closed under what has been read

Cause: closeIdle() closed the socket of a session whose bytes had been received and whose reader's turn had not come (a read that finds its bytes at once): its request was thrown away unanswered.

A read that is done goes on; one that waits ends, and its session with it.

Measured: TriesTest::readAsWeLeave closes idle connections after each of 0 to 11 turns of the loop. Red before (no answer after 4 turns), passes.

--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -166,7 +166,11 @@
     std::vector<std::shared_ptr<Session>> idle;
     for (const auto& [_, session] : sessions_)
         if (session->resting() && !session->waiting()) idle.push_back(session);
-    for (const auto& session : idle) session->kill();
+    for (const auto& session : idle) {
+        // Not closed: what has been read, and whose turn has not come, is still served.
+        Code ignored;
+        session->socket.cancel(ignored);
+    }
 }
 
 void Front::sweep(Nanos now) {
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(largeBodies);
     CPPUNIT_TEST(smuggled);
     CPPUNIT_TEST(idleClients);
+    CPPUNIT_TEST(readAsWeLeave);
     CPPUNIT_TEST(silentInTheMiddle);
     CPPUNIT_TEST(standstill);
     CPPUNIT_TEST(draining);
@@ -574,6 +575,22 @@
         house.until([&] { return client->ended; });
     }
 
+    // Idle connections are closed between any two turns of the loop: a request that has been read by then,
+    // or can be, is served.
+    void readAsWeLeave() {
+        for (int turns = 0; turns < 12; ++turns) {
+            House house(each({ok()}), {"A"});
+            const auto client = house.client(post("once"), {"once"});
+            house.standStill(2 * ms);  // the bytes are there, the foyer hasn't looked
+            for (int at = 0; at < turns; ++at) house.foyerLoop.poll_one();
+            house.front->drain(), house.front->closeIdle();
+            house.answered(client);
+            house.quiet();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(turns), std::size_t{1}, client->answers().size());
+            CPPUNIT_ASSERT_EQUAL(200, client->answers()[0].status);
+        }
+    }
+
     // A pod that falls silent in a large answer: nobody ends it before its time, the deadline does; also
     // where its client has gone.
     void silentInTheMiddle() {
