--- a/src/foyer/foyer.cpp
+++ b/src/foyer/foyer.cpp
@@ -1,14 +1,11 @@
 #include "foyer/foyer.hpp"
 
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-
 #include "callboard/callboard.hpp"
 #include "callboard/confidence.hpp"
 #include "company/company.hpp"
 #include "cues/cues.hpp"
 #include "foyer/front.hpp"
+#include "foyer/probes.hpp"
 #include "verdict/stages.hpp"
 #include "wings/link.hpp"
 #include "wings/log.hpp"
@@ -294,31 +291,6 @@
     // After a standstill what is known may be old: requests wait a moment for a prompter's word.
     bool awake() const { return now() - turned < asleep && now() >= doubtUntil; }
 
-    Task<> probe(tcp::socket socket) {
-        beast::flat_buffer buffer;
-        for (;;) {
-            http::request<http::empty_body> request;
-            Code code;
-            co_await http::async_read(socket, buffer, request, told(code));
-            if (code) co_return;
-            http::response<http::empty_body> response(
-                ready() ? http::status::ok : http::status::service_unavailable, 11);
-            response.content_length(0);
-            response.keep_alive(request.keep_alive());
-            co_await http::async_write(socket, response, told(code));
-            if (code || !response.keep_alive()) co_return;
-        }
-    }
-
-    Task<> serveProbes() {
-        while (probes.is_open()) {
-            Code code;
-            auto socket = co_await probes.async_accept(told(code));
-            if (code == asio::error::operation_aborted) co_return;
-            if (!code) start(io, "readiness", probe(std::move(socket)));
-        }
-    }
-
     Task<> tend() {
         for (bool was = false;;) {
             co_await sleep(sweepEvery);
@@ -386,7 +358,7 @@
         dialSeeds();
         start(io, "links", serveLinks(io, doors, owner));
         start(io, "clients", front.serve(clients));
-        start(io, "readiness", serveProbes());
+        start(io, "readiness", serveProbes(io, probes, [this] { return ready(); }));
         start(io, "tend", tend());
         start(io, "watch", watch());
         io.run();
