List duty: a refused page is asked for ever more seldom, and left when the term has changed

Cause: on 429 the same page was asked for again after two gaps of the platform's rate (at once where none is told), for as long as it was refused: also after the duty had gone, and with first pages of any age.

Change: the pause doubles from 20 ms (or two gaps) up to 1 s; a reading is left when the term is no longer the one it began in; one whose first page is over 2 s old when a page is refused starts anew, once: if that one gets as old it is taken, since an old list is better than none.

Measured: ListDutyTest::turnedAway, red before (114,029 pages asked for in 5 s, nothing listed), passes: 14 pages at most, the list has the new term.

--- a/src/prompter/list_duty.cpp
+++ b/src/prompter/list_duty.cpp
@@ -17,7 +17,9 @@
 
 constexpr Nanos pollEvery = 500 * ms, pollWithin = 700 * ms, pollPause = 300 * ms;
 constexpr Nanos compareEvery = 5 * second;
-constexpr double listPart = 0.7;  // of the platform's calls a second that the list may take
+constexpr Nanos refusedPause = 20 * ms, refusedAtMost = second;  // doubled from page to page that is refused
+constexpr Nanos oldAfter = 2 * second;  // what has been read of a list, while the rest of it is refused
+constexpr double listPart = 0.7;        // of the platform's calls a second that the list may take
 constexpr std::uint64_t bodyAtMost = 96 << 20;
 
 }  // namespace
@@ -30,7 +32,7 @@
 Task<> ListDuty::poll() {
     auto stream = std::make_shared<beast::tcp_stream>(io_);
     beast::flat_buffer buffer;
-    bool connected = false;
+    bool connected = false, anew = false;
     for (;;) {
         const auto term = term_();
         if (term == 0) {
@@ -43,6 +45,8 @@
         std::string token;
         bool whole = false;
         int pages = 0;
+        const Nanos firstPause = std::max(callGap() * 2, refusedPause);
+        Nanos pause = firstPause;
         try {
             for (int page = 0; page < 1000; ++page) {
                 stream->expires_after(span(pollWithin));
@@ -64,10 +68,18 @@
                 if (response.result_int() == 429) {
                     ++refused_;  // the same page again, when there is room
                     log("list_refused", {{"step", "list"}, {"peer", boot_.list}, {"status", 429}});
+                    co_await sleep(pause);
+                    pause = std::max(firstPause, std::min(pause * 2, refusedAtMost));
+                    if (term_() != term) break;  // the duty has gone, or was had anew
+                    // Pods have come and gone since the first page. Once: an old list is better than none.
+                    if (!anew && !token.empty() && now() - started > oldAfter) {
+                        anew = true;
+                        break;
+                    }
                     --page;
-                    co_await sleep(callGap() * 2);
                     continue;
                 }
+                pause = firstPause;
                 if (response.result_int() != 200)
                     throw std::runtime_error("status " + std::to_string(response.result_int()));
                 const auto body = Json::parse(response.body());
@@ -84,6 +96,7 @@
             stream = std::make_shared<beast::tcp_stream>(io_);
             connected = false, whole = false;
         }
+        if (whole) anew = false;
         if (whole && term_() == term) took(members, term);
         const Nanos every = std::max(whole ? pollEvery : pollPause, callGap() * pages);
         co_await sleep(std::max(started + every - now(), 20 * ms));
