--- a/src/casting/casting.cpp
+++ b/src/casting/casting.cpp
@@ -32,10 +32,11 @@
 constexpr int cutsInRow = 3;    // before a pod that breaks answers off rests
 constexpr double learn = 0.15;  // weight of the newest answer in an average
 constexpr double hedgeTypical = 2.3,
-                 hedgeTarget = 0.6;   // a second send after so many usual times, or so much of the target
-constexpr Nanos leastLeft = 15 * ms;  // with less time a send is pointless
-constexpr std::int64_t unreachedMore = 2;  // attempts beyond max_attempts, where pods are not reached
-constexpr int ownBad = 4;                  // bad answers of a version on trial seen here that stop it here
+                 hedgeTarget = 0.6;  // a second send after so many usual times, or so much of the target
+constexpr Nanos hedgeAgainAtLeast = 50 * ms;  // after a second send that was not to be had
+constexpr Nanos leastLeft = 15 * ms;          // with less time a send is pointless
+constexpr std::int64_t unreachedMore = 2;     // attempts beyond max_attempts, where pods are not reached
+constexpr int ownBad = 4;                     // bad answers of a version on trial seen here that stop it here
 constexpr double ownBadPart = 0.3;
 constexpr Nanos comeBack = 150 * ms;
 constexpr double linesPart = 0.8;  // of a pod's connections, that foyers share
@@ -321,12 +322,11 @@
             for (const auto* actor : *place)
                 if (isOf(rollout.target)(actor)) ++there, warmed += warm(**actor, now);
         const bool stopped = trial.bad >= ownBad && trial.bad > trial.fresh * ownBadPart;
-        ++trial.all;
         if (stopped || there == 0) continue;
         // The rehearsal: all of the requests for a moment, within what the share has left unused so far. What
         // fails only under load shows here, before it may have all.
         const bool rehearsing = rollout.stage == 1 && now - trial.staged < rehearsalFor &&
-                                trial.sent + 1 <= trial.all * share_ * rehearsalPart + trial.granted;
+                                trial.sent + 1 <= (trial.all + 1) * share_ * rehearsalPart + trial.granted;
         if (!target && (rollout.stage > 1 || rehearsing)) target = &rollout.target;
         if (rollout.stage > 1 || rehearsing || further || warmed == 0) continue;
         // The few get what an earlier pod gets: of the share, and of the grant what that lacks.
@@ -353,6 +353,10 @@
     look(near[from], 2), look(far[from], near[from].empty() ? 2 : 1);
     if (!best) look(resting[0], 2);
     if (!best) return nullptr;
+    // What is asked for and not sent is nothing of which a version would get its share.
+    for (const auto& rollout : rollouts_)
+        if (rollout.service == request.service && rollout.running())
+            ++trials_[rollout.service + "\n" + rollout.target]->all;
     if (side(*best) == Side::fresh) ++trials_[best->listed.service + "\n" + best->listed.version]->sent;
     if (further) spent.cell(now).second += 1;
     if (best->out++ == 0) best->owes = now;
@@ -369,6 +373,13 @@
     return std::min(request.deadline, sentAt + static_cast<Nanos>(after));
 }
 
+Nanos Casting::hedgeAgainAt(const Try& request, Nanos now) const {
+    if (!request.route->repeatable) return request.deadline;
+    const auto at = typical_.find(request.route->name);
+    const double usual = at == typical_.end() ? static_cast<double>(request.route->target) / 3 : at->second;
+    return std::min(request.deadline, now + std::max(static_cast<Nanos>(usual / 2), hedgeAgainAtLeast));
+}
+
 void Casting::reported(Actor& actor, int running, int waiting, Nanos now) {
     actor.held = running + waiting, actor.heldOut = actor.out, actor.heldAt = now;
     const double slots = std::max(actor.listed.slots, 1);
@@ -380,9 +391,10 @@
 void Casting::ended(Try& request, Attempt& attempt, Event end, int status, Nanos took, Nanos now) {
     attempt.on(end);
     auto& actor = *attempt.actor();
-    --actor.out;
-    if (end == Event::answered || end == Event::turned || end == Event::elsewhere)
-        actor.owes = actor.out > 0 ? now : 0;
+    // Where nothing is out nothing is owed, however it ended: else a pod that failed once would count as mute
+    // until it is drawn for want of others.
+    if (--actor.out == 0) actor.owes = 0;
+    else if (end == Event::answered || end == Event::turned || end == Event::elsewhere) actor.owes = now;
     const auto rest = [&](Nanos first) {
         actor.restUntil = now + std::min(first << std::min(actor.failures, 5), restAtMost);
     };
@@ -397,7 +409,6 @@
     } else if (++actor.failures >= cutsInRow) {
         rest(restFirst);
     }
-    if (end == Event::overdue && actor.out == 0) actor.owes = 0;
     const bool failed = end == Event::cut || end == Event::spoilt || end == Event::overdue ||
                         (end == Event::answered && status >= 500);
     const auto& route = *request.route;
--- a/src/foyer/front.cpp
+++ b/src/foyer/front.cpp
@@ -166,7 +166,11 @@
     std::vector<std::shared_ptr<Session>> idle;
     for (const auto& [_, session] : sessions_)
         if (session->resting() && !session->waiting()) idle.push_back(session);
-    for (const auto& session : idle) session->kill();
+    for (const auto& session : idle) {
+        // Not closed: what has been read, and whose turn has not come, is still served.
+        Code ignored;
+        session->socket.cancel(ignored);
+    }
 }
 
 void Front::sweep(Nanos now) {
@@ -293,12 +297,11 @@
         ready(session, exchange);
     };
     while (!session->dead) {
-        const auto limits = bounds();
         Code code;
         if (session->closing) session->buffer.consume(session->buffer.size());
         if (session->buffer.size() == 0) {
             session->idle = true;
-            if (!session->away) session->readBy = 0, session->rest(now(), limits.idleTimeout);
+            if (!session->away) session->readBy = 0, session->rest(now(), bounds().idleTimeout);
             const auto space = session->buffer.prepare(4096);
             const auto read = co_await session->socket.async_read_some(space, told(code));
             session->idle = false;
@@ -306,6 +309,7 @@
             if (session->closing) continue;
             session->buffer.commit(read);
         }
+        const auto limits = bounds();  // in force as the request begins, after a rest
         auto parser = std::make_shared<http::request_parser<http::buffer_body>>();
         parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser->body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
@@ -531,6 +535,9 @@
                 looked.push_back(false);
                 hedgeAt = exchange->upload ? way.deadline : casting_.hedgeAt(way, now());
                 start(io_, "send", send(session, exchange, call));
+            } else if (!exchange->upload) {
+                // For want of budget or of pods, and maybe not for long.
+                hedgeAt = casting_.hedgeAgainAt(way, now());
             }
         }
         wanted = false;
--- a/tests/gateway/front.cpp
+++ b/tests/gateway/front.cpp
@@ -1,5 +1,11 @@
 // Whole exchanges through a foyer's front: client, gateway, pods. Each case is one of the ways in which pods
 // and clients misbehave; the transcript shows what the client got and what reached which pod.
+#include <sys/resource.h>
+
+#include <cstring>
+
+#include "foyer/probes.hpp"
+#include "prompter/list_duty.hpp"
 #include "stage.hpp"
 
 using namespace stage;
@@ -281,3 +287,111 @@
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FrontTest);
+
+class ProbesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ProbesTest);
+    CPPUNIT_TEST(noDescriptors);
+    CPPUNIT_TEST(silentProbes);
+    CPPUNIT_TEST_SUITE_END();
+
+    asio::io_context io{1};
+    tcp::acceptor door{listen(io, "127.0.0.1:0")};
+
+  public:
+    void tearDown() override { io.stop(); }
+
+    // Where a connection can't be taken up for want of descriptors, it waits a moment, and goes on later.
+    void noDescriptors() {
+        tcp::socket client(io), next(io);
+        client.open(tcp::v4()), next.open(tcp::v4());
+        rlimit before{};
+        CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_NOFILE, &before));
+        const rlimit none{0, before.rlim_max};
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none));
+        client.connect(door.local_endpoint());
+        start(io, "readiness", foyer::serveProbes(io, door, [] { return true; }));
+        const auto turns = io.run_for(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &before));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(turns) + " turns", turns <= 40);
+        std::string got;
+        asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+        asio::async_read(client, asio::dynamic_buffer(got), [](Code, std::size_t) {});
+        while (got.find("200 OK") == got.npos) CPPUNIT_ASSERT(io.run_one_for(std::chrono::seconds(5)) > 0);
+    }
+
+    // Who asks nothing, or but half a question, is left.
+    void silentProbes() {
+        start(io, "readiness",
+              foyer::serveProbes(
+                  io, door, [] { return false; }, 30 * ms));
+        for (const auto* said : {"", "GET / HT", "GET / HTTP/1.1\r\n\r\n"}) {
+            tcp::socket client(io);
+            client.connect(door.local_endpoint());
+            asio::write(client, asio::buffer(said, std::strlen(said)));
+            std::string got;
+            bool ended = false;
+            asio::async_read(client, asio::dynamic_buffer(got), [&](Code, std::size_t) { ended = true; });
+            while (!ended) CPPUNIT_ASSERT_MESSAGE(said, io.run_one_for(std::chrono::seconds(2)) > 0);
+            CPPUNIT_ASSERT_EQUAL(std::strlen(said) > 8, got.find("503") != got.npos);
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ProbesTest);
+
+// The list's duty against a platform that turns pages away.
+class ListDutyTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ListDutyTest);
+    CPPUNIT_TEST(turnedAway);
+    CPPUNIT_TEST_SUITE_END();
+
+    asio::io_context io{1};
+    tcp::acceptor door{listen(io, "127.0.0.1:0")};
+    playbill::Boot boot;
+    callboard::Callboard board{{}};
+    std::uint64_t term = 1;
+    std::vector<std::string> asked;
+    std::function<std::string(const std::string& target)> page;  // "": turned away
+    prompter::ListDuty duty{io, boot, board, [this] { return term; }, [](const callboard::Json&) {}};
+
+    Task<> platform() {
+        auto socket = co_await door.async_accept(asio::use_awaitable);
+        beast::flat_buffer buffer;
+        for (;;) {
+            http::request<http::string_body> request;
+            Code code;
+            co_await http::async_read(socket, buffer, request, told(code));
+            if (code) co_return;
+            asked.emplace_back(request.target());
+            const auto body = page(asked.back());
+            const auto head = "HTTP/1.1 " + std::string(body.empty() ? "429 No" : "200 OK");
+            const auto answer =
+                head + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            co_await asio::async_write(socket, asio::buffer(answer), told(code));
+        }
+    }
+
+  public:
+    void tearDown() override { io.stop(); }
+
+    // The duty is had anew while a page is turned away: the new term's list is read from its first page.
+    // Turned away again, it asks ever more seldom; once what it has is old it reads anew, and then takes what
+    // it gets.
+    void turnedAway() {
+        int firsts = 0;
+        page = [&](const std::string& target) -> std::string {
+            if (target == "/instances") return ++firsts, R"({"instance_list":[],"next_token":"x"})";
+            if (firsts == 1) term = 2;
+            return firsts < 3 ? "" : R"({"instance_list":[]})";
+        };
+        boot.list = "127.0.0.1:" + std::to_string(door.local_endpoint().port());
+        start(io, "platform", platform());
+        start(io, "list", duty.poll());
+        for (const Nanos began = now(); !board.listed(); io.run_one_for(std::chrono::milliseconds(5)))
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(asked.size()) + " pages", now() - began < 5 * second);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, board.edition().term);
+        CPPUNIT_ASSERT_EQUAL(std::string("/instances"), asked[2]);
+        CPPUNIT_ASSERT_EQUAL(3, firsts);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(asked.size()) + " pages", asked.size() <= 14);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ListDutyTest);
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -33,10 +33,14 @@
     CPPUNIT_TEST(clientsGone);
     CPPUNIT_TEST(pipelined);
     CPPUNIT_TEST(secondSend);
+    CPPUNIT_TEST(secondSendLater);
+    CPPUNIT_TEST(leftUnwritten);
+    CPPUNIT_TEST(raisedLimits);
     CPPUNIT_TEST(expectations);
     CPPUNIT_TEST(largeBodies);
     CPPUNIT_TEST(smuggled);
     CPPUNIT_TEST(idleClients);
+    CPPUNIT_TEST(readAsWeLeave);
     CPPUNIT_TEST(silentInTheMiddle);
     CPPUNIT_TEST(standstill);
     CPPUNIT_TEST(draining);
@@ -360,6 +364,77 @@
         }
     }
 
+    // A second send for which there is no budget goes once there is.
+    void secondSendLater() {
+        House house(
+            [](const Arrival& arrival) {
+                if (arrival.id == "slow" && arrival.number == 1) return Reply{"", Reply::silent};
+                return Reply{ok()};
+            },
+            {"A", "B"}, 0);
+        house.repeatable = {"slow"};
+        const auto client = house.client(get("slow", 1500, "", "/quick/1"), {"slow"});
+        house.until([&] { return house.arrivals["slow"] == 1; });
+        const Nanos asked = now() + 40 * ms;  // the second was due after 12 ms
+        house.until([&] { return now() > asked; });
+        CPPUNIT_ASSERT_EQUAL(1, house.arrivals["slow"]);
+        for (int at = 0; at < 30; ++at) {
+            const auto other = house.client(post(idOf(at)), {idOf(at)});
+            house.answered(other);
+        }
+        house.answered(client);
+        CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
+        CPPUNIT_ASSERT_EQUAL(2, house.arrivals["slow"]);
+        house.quiet();
+    }
+
+    // A call that is given up before its turn comes writes nothing, on a kept connection either: its send has
+    // surely not run.
+    void leftUnwritten() {
+        House house(each({ok()}), {"A"});
+        house.answered(house.client(post("frst"), {"frst"}));
+        house.quiet();
+        casting::Try way;
+        CPPUNIT_ASSERT(house.casting->begin(way, "h", "/write/1", now(), second));
+        const auto call = std::make_shared<foyer::Call>(house.casting->next(way, now()));
+        const auto request = std::make_shared<foyer::Request>(foyer::http::verb::post, "/write/1", 11);
+        request->set("X-Attempt-Id", "left");
+        bool back = false;
+        const auto send = [](House& in, std::shared_ptr<foyer::Call> sent,
+                             std::shared_ptr<foyer::Request> its, bool& done) -> Task<> {
+            co_await in.upstream->call(sent, its, now() + second, true, 2);
+            done = true;
+        };
+        call->abort();
+        start(house.foyerLoop, "send", send(house, call, request, back));
+        house.until([&] { return back; });
+        CPPUNIT_ASSERT_EQUAL(0, house.arrivals["left"]);
+        CPPUNIT_ASSERT(call->attempt->state() == casting::State::unsent);
+        house.casting->ended(way, *call->attempt, call->end, 0, 0, now());
+        CPPUNIT_ASSERT_EQUAL(503, house.casting->refusal(way).status);
+        house.quiet();
+    }
+
+    // Limits raised while a connection rests hold for its next request.
+    void raisedLimits() {
+        for (const bool header : {true, false}) {
+            House house(each({ok()}), {"A"});
+            house.limit(header ? 1000 : 2000, header ? 9000 : 1000);
+            const auto client = house.client(post("frst"), {"frst"});
+            house.answered(client);
+            house.quiet();
+            house.limit(9000, 9000);
+            const std::string more(3000, 'x');
+            house.write(
+                client,
+                header ? post("next", 4000, "x", "X-More: " + more + "\r\n") : post("next", 4000, more),
+                {"next"});
+            house.answered(client, 2);
+            house.quiet();
+            CPPUNIT_ASSERT_EQUAL(200, client->answers().at(1).status);
+        }
+    }
+
     // Who waits for 100 gets it, once it is its turn.
     void expectations() {
         House house([](const Arrival& arrival) {
@@ -500,6 +575,22 @@
         house.until([&] { return client->ended; });
     }
 
+    // Idle connections are closed between any two turns of the loop: a request that has been read by then,
+    // or can be, is served.
+    void readAsWeLeave() {
+        for (int turns = 0; turns < 12; ++turns) {
+            House house(each({ok()}), {"A"});
+            const auto client = house.client(post("once"), {"once"});
+            house.standStill(2 * ms);  // the bytes are there, the foyer hasn't looked
+            for (int at = 0; at < turns; ++at) house.foyerLoop.poll_one();
+            house.front->drain(), house.front->closeIdle();
+            house.answered(client);
+            house.quiet();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(turns), std::size_t{1}, client->answers().size());
+            CPPUNIT_ASSERT_EQUAL(200, client->answers()[0].status);
+        }
+    }
+
     // A pod that falls silent in a large answer: nobody ends it before its time, the deadline does; also
     // where its client has gone.
     void silentInTheMiddle() {
