--- a/tests/gateway/catching_up.cpp
+++ b/tests/gateway/catching_up.cpp
@@ -4,14 +4,14 @@
 #include <iostream>
 #include <random>
 
-#include "callboard/callboard.hpp"
+#include "callboard_stage.hpp"
 #include "cues/cues.hpp"
 #include "keeper_stage.hpp"
 #include "playbill/playbill.hpp"
 #include "wings/pack.hpp"
 
 using namespace keeper_stage;
-using callboard::Callboard;
+using callboard_stage::Callboard, callboard_stage::pods;
 
 namespace {
 
@@ -28,31 +28,6 @@
     return value;
 }
 
-std::vector<troupe::Member> pods(int from, int to) {
-    std::vector<troupe::Member> all;
-    for (int at = from; at < to; ++at)
-        all.push_back({"i-" + std::to_string(100'000 + at), "s", "10.1.0.1:" + std::to_string(10'000 + at),
-                       "z", "v1", 2, false, 0});
-    return all;
-}
-
-// Both ways, until nobody has more to say: what a foyer and a prompter exchange when it has come up.
-Cost exchange(Callboard& prompter, Callboard& foyer) {
-    Cost cost;
-    std::vector<Json> way{prompter.digest()};
-    for (bool down = true; !way.empty(); down = !down) {
-        std::vector<Json> back;
-        for (const auto& message : way) {
-            cost.add(message);
-            (down ? foyer : prompter)
-                .heard(message, down ? Callboard::From::prompter : Callboard::From::follower, second,
-                       [&](Json reply) { back.push_back(std::move(reply)); });
-        }
-        way = std::move(back);
-    }
-    return cost;
-}
-
 // Much as operators' configurations are, as large as wanted.
 std::string configuration(int routes) {
     std::string all = R"({"config_version":"0000000c","resources":[)";
@@ -73,6 +48,14 @@
     return all + "}";
 }
 
+// What a foyer and a prompter exchange when it has come up.
+Cost exchange(Callboard& prompter, Callboard& foyer) {
+    Cost cost;
+    callboard_stage::tell(prompter, foyer, prompter.digest(), Callboard::From::prompter,
+                          [&](const Json& message) { cost.add(message); });
+    return cost;
+}
+
 constexpr int changes[] = {10, 300, 1100};
 
 // Bounds that know nothing of how many changes there were.
@@ -158,12 +141,13 @@
             Callboard prompter{{}}, away{{}};
             prompter.configuration(1, valueOf(0));
             prompter.rollouts(0, "[]");
-            prompter.list(pods(0, 40), 1);
+            prompter.list(pods(10'000, 10'040), 1);
             exchange(prompter, away);
             for (int change = 1; change <= count; ++change) {
                 prompter.configuration(static_cast<std::uint32_t>(change + 1), valueOf(change));
                 prompter.rollouts(change, "[]");
-                prompter.list(pods(change, change + 40), 1 + static_cast<std::uint64_t>(change) / 100);
+                prompter.list(pods(10'000 + change, 10'040 + change),
+                              1 + static_cast<std::uint64_t>(change) / 100);
             }
             Callboard fresh{{}};
             empty.push_back(exchange(prompter, fresh));
--- a/tests/gateway/company.cpp
+++ b/tests/gateway/company.cpp
@@ -3,35 +3,17 @@
 // until all agree. Chance is seeded.
 #include "company/company.hpp"
 
-#include "callboard/callboard.hpp"
+#include "callboard_stage.hpp"
 #include "cues/cues.hpp"
 #include "transcript.hpp"
 
-using namespace lichenlanding;
-using callboard::Callboard;
-using Json = nlohmann::json;
+using namespace callboard_stage;
 
 namespace {
 
 constexpr Nanos ms = 1'000'000, second = 1000 * ms;
 constexpr Nanos heartbeat = 1500 * ms;
 
-troupe::Member pod(int number, bool draining = false) {
-    return {"i-" + std::to_string(100000 + number),
-            "s",
-            "10.1.0.1:" + std::to_string(number),
-            "z",
-            "v1",
-            2,
-            draining,
-            0};
-}
-std::vector<troupe::Member> pods(int from, int to, int drainingTo = 0) {
-    std::vector<troupe::Member> all;
-    for (int at = from; at < to; ++at) all.push_back(pod(at, at < drainingTo));
-    return all;
-}
-
 // One prompter (number 0) and foyers that it tells; links of 1 ms that lose what is cut.
 class Town {
   public:
--- a/tests/gateway/control_stage.hpp
+++ b/tests/gateway/control_stage.hpp
@@ -7,9 +7,8 @@
 #include <boost/beast/http/read.hpp>
 #include <deque>
 
+#include "loop_stage.hpp"
 #include "prompter/operator_calls.hpp"
-#include "transcript.hpp"
-#include "wings/loop.hpp"
 
 namespace control_stage {
 
@@ -83,25 +82,13 @@
               metrics, bounds) {}
     template <typename Done>
     void until(Done done) {
-        for (int turns = 0; !done(); ++turns) {
-            CPPUNIT_ASSERT_MESSAGE("nothing happens any more", io.run_one_for(std::chrono::seconds(8)) > 0);
-            CPPUNIT_ASSERT(turns < 200'000);
-        }
+        loop_stage::until(io, 200'000, done);
     }
     OperatorCalls::Response ask(const std::string& target, const std::string& body,
                                 http::verb method = http::verb::post) {
         OperatorCalls::Request request(method, target, 11);
         request.body() = body;
-        OperatorCalls::Response response;
-        bool done = false;
-        start(io, "ask",
-              [](OperatorCalls& calls_, OperatorCalls::Request request_, OperatorCalls::Response& response_,
-                 bool& done_) -> Task<> {
-                  response_ = co_await calls_.answer(request_);
-                  done_ = true;
-              }(calls, request, response, done));
-        until([&] { return done; });
-        return response;
+        return loop_stage::result(io, calls.answer(request), [&](auto done) { until(done); });
     }
     OperatorCalls::Response call(const std::string& name, const std::string& body = "") {
         return ask("/api/rpc?call=" + name, body);
--- a/tests/gateway/duties.cpp
+++ b/tests/gateway/duties.cpp
@@ -4,16 +4,14 @@
 
 #include <filesystem>
 
-#include "callboard/callboard.hpp"
 #include "callboard/confidence.hpp"
+#include "callboard_stage.hpp"
 #include "cues/cues.hpp"
 #include "transcript.hpp"
 #include "verdict/stages.hpp"
 
-using namespace lichenlanding;
-using callboard::Callboard;
+using namespace callboard_stage;
 using callboard::Confidence;
-using Json = nlohmann::json;
 
 namespace {
 
@@ -83,27 +81,6 @@
     std::size_t most = 0;
 };
 
-troupe::Member pod(const std::string& id, bool draining = false) {
-    return {id, "s", "10.1.0.1:80", "z", "v1", 2, draining, 0};
-}
-
-// Messages of a prompter to a foyer, and all that follows from them.
-void tell(Callboard& from, Callboard& to, Json message, Callboard::From role = Callboard::From::prompter) {
-    if (message.is_null()) return;
-    std::vector<Json> way{std::move(message)};
-    for (bool forth = true; !way.empty(); forth = !forth) {
-        std::vector<Json> back;
-        for (const auto& one : way)
-            (forth ? to : from)
-                .heard(one,
-                       forth                               ? role
-                       : role == Callboard::From::prompter ? Callboard::From::follower
-                                                           : Callboard::From::neighbour,
-                       second, [&](Json reply) { back.push_back(std::move(reply)); });
-        way = std::move(back);
-    }
-}
-
 }  // namespace
 
 class DutiesTest : public CppUnit::TestFixture {
--- a/tests/gateway/house.cpp
+++ b/tests/gateway/house.cpp
@@ -140,6 +140,16 @@
                                     const std::string& body = "") {
         return call(at(name, control), http::verb::post, "/api/rpc?call=" + what, body);
     }
+    int replace(const std::string& name, const std::string& configuration) {
+        return rpc(name, "config.replace", configuration).first;
+    }
+    Json status(const std::string& name) { return Json::parse(rpc(name, "status").second); }
+    int get(const std::string& name, const std::string& path) {
+        return call(at(name, front), http::verb::get, path, "", "get").first;
+    }
+    int readiness(const std::string& name) {
+        return call(at(name, probe), http::verb::get, "/api/readiness").first;
+    }
     // Asked again until it says so; each try is a whole exchange.
     template <typename Try>
     void until(const char* what, Try holds) {
@@ -262,7 +272,7 @@
         for (const auto* name : {"c1", "c2", "c3", "e1", "e2"}) house.launch(name);
         for (const auto* name : {"c1", "c2", "c3"}) house.await(name, "formed");
         // Each has said that it is in contact: the first call at any of them is taken.
-        CPPUNIT_ASSERT_EQUAL(200, house.rpc("c2", "config.replace", House::configuration(3, "/a/")).first);
+        CPPUNIT_ASSERT_EQUAL(200, house.replace("c2", House::configuration(3, "/a/")));
         for (const auto* name : {"e1", "e2"}) house.await(name, "ready");
     }
 
@@ -271,9 +281,7 @@
     void machinesLost() {
         House house;
         open(house);
-        const auto get = [&](const std::string& path) {
-            return house.call(house.at("e1", house.front), http::verb::get, path, "", "g").first;
-        };
+        const auto get = [&](const std::string& path) { return house.get("e1", path); };
         CPPUNIT_ASSERT_EQUAL(200, get("/r/1"));
         CPPUNIT_ASSERT_EQUAL(404, get("/b/1"));
         CPPUNIT_ASSERT_EQUAL(
@@ -283,26 +291,26 @@
             CPPUNIT_ASSERT_EQUAL(House::configuration(3, "/a/"), house.rpc(name, "config.read").second);
         // Two bodies under one number at two prompters: one of them is it, everywhere and for good.
         const auto one = House::configuration(4, "/b/"), other = House::configuration(4, "/c/");
-        CPPUNIT_ASSERT_EQUAL(200, house.rpc("c1", "config.replace", one).first);
+        CPPUNIT_ASSERT_EQUAL(200, house.replace("c1", one));
         const auto clash = house.rpc("c3", "config.replace", other);
         CPPUNIT_ASSERT_EQUAL(409, clash.first);
         CPPUNIT_ASSERT(clash.second.find("00000004") != clash.second.npos);
         for (const auto* name : {"c1", "c2", "c3"}) {
-            CPPUNIT_ASSERT_EQUAL(200, house.rpc(name, "config.replace", one).first);
-            CPPUNIT_ASSERT_EQUAL(409, house.rpc(name, "config.replace", other).first);
+            CPPUNIT_ASSERT_EQUAL(200, house.replace(name, one));
+            CPPUNIT_ASSERT_EQUAL(409, house.replace(name, other));
             CPPUNIT_ASSERT_EQUAL(one, house.rpc(name, "config.read").second);
         }
-        CPPUNIT_ASSERT_EQUAL(200, house.rpc("c2", "config.replace", House::configuration(2, "/old/"))
-                                      .first);  // old: taken, changes nothing
+        CPPUNIT_ASSERT_EQUAL(
+            200, house.replace("c2", House::configuration(2, "/old/")));  // old: taken, changes nothing
         CPPUNIT_ASSERT_EQUAL(400,
                              house.rpc("c2", "config.replace", "{\"config_version\":\"00000009\"").first);
         house.until("the foyer uses version 4", [&] { return get("/b/1") == 200 && get("/a/1") == 404; });
         house.stop(house.programs["c1"], SIGKILL);
         const auto five = House::configuration(5, "/five/");
-        CPPUNIT_ASSERT_EQUAL(200, house.rpc("c2", "config.replace", five).first);  // two of three take it
+        CPPUNIT_ASSERT_EQUAL(200, house.replace("c2", five));  // two of three take it
         CPPUNIT_ASSERT_EQUAL(five, house.rpc("c3", "config.read").second);
         house.stop(house.programs["c3"], SIGKILL);
-        CPPUNIT_ASSERT_EQUAL(503, house.rpc("c2", "config.replace", House::configuration(6, "/six/")).first);
+        CPPUNIT_ASSERT_EQUAL(503, house.replace("c2", House::configuration(6, "/six/")));
         CPPUNIT_ASSERT_EQUAL(503, house.rpc("c2", "config.read").first);
         // Clients are served meanwhile, by what was acknowledged last.
         house.until("the foyer uses version 5", [&] { return get("/five/1") == 200; });
@@ -316,14 +324,13 @@
         // Orders of before are known again by prompters that have been down, one with an empty disk.
         int again = 503;
         house.until("the order of version 4 is answered", [&] {
-            again = house.rpc("c1", "config.replace", one).first;
+            again = house.replace("c1", one);
             return again != 503;
         });
         CPPUNIT_ASSERT_EQUAL(200, again);
-        CPPUNIT_ASSERT_EQUAL(409, house.rpc("c1", "config.replace", other).first);
-        house.until("the disk that was lost stands for another", [&] {
-            return house.rpc("c1", "config.replace", House::configuration(7, "/seven/")).first == 200;
-        });
+        CPPUNIT_ASSERT_EQUAL(409, house.replace("c1", other));
+        house.until("the disk that was lost stands for another",
+                    [&] { return house.replace("c1", House::configuration(7, "/seven/")) == 200; });
         house.until("the foyer uses version 7", [&] { return get("/seven/1") == 200; });
     }
 
@@ -332,19 +339,14 @@
     void allAtOnce() {
         House house;
         open(house);
-        CPPUNIT_ASSERT_EQUAL(200, house
-                                      .rpc("c1", "rollouts.begin",
-                                           R"({"service_name":"s","target_version":"v2","deadline":"60s"})")
-                                      .first);
-        CPPUNIT_ASSERT_EQUAL(200, house
-                                      .rpc("c2", "rollouts.begin",
-                                           R"({"service_name":"s","target_version":"v2","deadline":"60s"})")
-                                      .first);
+        const std::string order = R"({"service_name":"s","target_version":"v2","deadline":"60s"})";
+        for (const auto* name : {"c1", "c2"})
+            CPPUNIT_ASSERT_EQUAL(200, house.rpc(name, "rollouts.begin", order).first);
         CPPUNIT_ASSERT_EQUAL(400, house.rpc("c2", "rollouts.begin", R"({"service_name":"s"})").first);
         CPPUNIT_ASSERT_EQUAL(404, house.rpc("c2", "rollouts.read&of=other").first);
         // Its age is a span, written down as it grows, and not lost when all restart.
         const auto age = [&](const std::string& name) {
-            const auto status = Json::parse(house.rpc(name, "status").second);
+            const auto status = house.status(name);
             return status.at("rollouts").empty() ? 0 : status.at("rollouts").at(0).at("age").get<int>();
         };
         house.until("the order's age is written", [&] { return age("c1") > 0; });
@@ -355,21 +357,18 @@
         const auto read = house.rpc("c3", "rollouts.read&of=s");
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"in_progress","target_version":"v2"})"), read.second);
         CPPUNIT_ASSERT_EQUAL(House::configuration(3, "/a/"), house.rpc("c3", "config.read").second);
-        const auto status = Json::parse(house.rpc("c1", "status").second);
+        const auto status = house.status("c1");
         CPPUNIT_ASSERT_EQUAL(std::string("00000003"), status.at("configuration").get<std::string>());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), status.at("rollouts").size());
         CPPUNIT_ASSERT(age("c1") >= written);
-        CPPUNIT_ASSERT_EQUAL(
-            200, house.call(house.at("e1", house.probe), http::verb::get, "/api/readiness").first);
+        CPPUNIT_ASSERT_EQUAL(200, house.readiness("e1"));
         auto& foyer = house.programs["e1"];
         kill(foyer.id, SIGHUP);
         house.await("e1", "settings_read");
         kill(foyer.id, SIGTERM);
         house.await("e1", "leaving");
-        CPPUNIT_ASSERT_EQUAL(
-            503, house.call(house.at("e1", house.probe), http::verb::get, "/api/readiness").first);
-        CPPUNIT_ASSERT_EQUAL(
-            200, house.call(house.at("e1", house.front), http::verb::get, "/r/1", "", "last").first);
+        CPPUNIT_ASSERT_EQUAL(503, house.readiness("e1"));
+        CPPUNIT_ASSERT_EQUAL(200, house.get("e1", "/r/1"));
         house.await("e1", "left");
         house.stop(foyer, 0);
         CPPUNIT_ASSERT(WIFEXITED(foyer.status) && WEXITSTATUS(foyer.status) == 0);
@@ -402,14 +401,11 @@
     void frozen() {
         House house;
         open(house);
-        const auto get = [&](const std::string& path) {
-            return house.call(house.at("e1", house.front), http::verb::get, path, "", "f").first;
-        };
+        const auto get = [&](const std::string& path) { return house.get("e1", path); };
         CPPUNIT_ASSERT_EQUAL(200, get("/a/1"));
         auto& foyer = house.programs["e1"];
         kill(foyer.id, SIGSTOP);
-        CPPUNIT_ASSERT_EQUAL(200,
-                             house.rpc("c1", "config.replace", House::configuration(8, "/eight/")).first);
+        CPPUNIT_ASSERT_EQUAL(200, house.replace("c1", House::configuration(8, "/eight/")));
         house.await("c1", "link_silent");  // two seconds on, a prompter has given it up
         kill(foyer.id, SIGCONT);
         house.await("e1", "woke");
@@ -425,9 +421,7 @@
         House house;
         open(house);
         const auto duty = [&](const std::string& name) {
-            return Json::parse(house.rpc(name, "status").second)
-                .at("duties")
-                .value("list", Json{{"mine", false}, {"term", 0}});
+            return house.status(name).at("duties").value("list", Json{{"mine", false}, {"term", 0}});
         };
         std::string holder;
         house.until("one has the duty", [&] {
@@ -450,7 +444,7 @@
         house.pods.erase("i-2");  // its list is followed
         house.until("it has told of a pod that went", [&] {
             const auto& told = duty(others[0]).at("mine") ? others[0] : others[1];
-            const auto pods = Json::parse(house.rpc(told, "status").second).at("pods");
+            const auto pods = house.status(told).at("pods");
             return pods.contains("s") && pods.at("s").at("v1").at(0) == 1;
         });
         house.launch(holder, false);
@@ -469,13 +463,11 @@
         house.launch("e2", false);
         house.await("e2", "news_unsure");
         const auto taken = house.await("e2", "news_taken_unsure");
-        CPPUNIT_ASSERT_EQUAL(
-            503, house.call(house.at("e2", house.probe), http::verb::get, "/api/readiness").first);
+        CPPUNIT_ASSERT_EQUAL(503, house.readiness("e2"));
         CPPUNIT_ASSERT_EQUAL(503, house.rpc("c2", "config.read").first);
         house.launch("c1", false);
         house.await("e2", "ready", house.await("e2", "news_sure", taken) - 1);
-        CPPUNIT_ASSERT_EQUAL(200,
-                             house.call(house.at("e2", house.front), http::verb::get, "/r/1", "", "s").first);
+        CPPUNIT_ASSERT_EQUAL(200, house.get("e2", "/r/1"));
     }
 
     // The tools' words and exit status.
--- a/tests/gateway/keeper_stage.hpp
+++ b/tests/gateway/keeper_stage.hpp
@@ -5,8 +5,8 @@
 #include <condition_variable>
 #include <mutex>
 
+#include "loop_stage.hpp"
 #include "prompter/keeper.hpp"
-#include "transcript.hpp"
 
 namespace keeper_stage {
 
@@ -196,15 +196,9 @@
             at, [](const std::string& held) { return held; }, second);
     }
     std::string change(int at, const reg::Change& change, Nanos within) {
-        std::optional<std::string> result;
-        bool done = false;
-        start(io, "change",
-              [](Keeper& keeper, reg::Change change_, Nanos within_, std::optional<std::string>& result_,
-                 bool& done_) -> Task<> {
-                  result_ = co_await keeper.change(prompter::configurationKey, change_, within_);
-                  done_ = true;
-              }(keeper(at), change, within, result, done));
-        until("a change ends", [&] { return done; });
+        const auto result =
+            loop_stage::result(io, keeper(at).change(prompter::configurationKey, change, within),
+                               [&](auto done) { until("a change ends", done); });
         return result.value_or("-");
     }
     // The registers that there are: each set of members that some prompter holds for the newest.
--- /dev/null
+++ b/tests/gateway/loop_stage.hpp
@@ -0,0 +1,32 @@
+// A loop that is driven until something is so, or until a task has ended. Nothing waits for time to pass.
+#pragma once
+
+#include <optional>
+
+#include "transcript.hpp"
+#include "wings/loop.hpp"
+
+namespace loop_stage {
+
+using namespace lichenlanding::wings;
+
+template <typename Done>
+void until(asio::io_context& io, int turnsAtMost, Done done) {
+    for (int turns = 0; !done(); ++turns) {
+        CPPUNIT_ASSERT_MESSAGE("nothing happens any more", io.run_one_for(std::chrono::seconds(8)) > 0);
+        CPPUNIT_ASSERT(turns < turnsAtMost);
+    }
+}
+
+// What a task comes to; `until` drives the loop.
+template <typename Result, typename Until>
+Result result(asio::io_context& io, Task<Result> task, Until until) {
+    std::optional<Result> ended;
+    start(io, "task", [](Task<Result> task_, std::optional<Result>& ended_) -> Task<> {
+        ended_ = co_await std::move(task_);
+    }(std::move(task), ended));
+    until([&] { return ended.has_value(); });
+    return std::move(*ended);
+}
+
+}  // namespace loop_stage
--- a/tests/gateway/scripted_pods.cpp
+++ b/tests/gateway/scripted_pods.cpp
@@ -155,6 +155,13 @@
     });
 }
 
+Got House::exchange(const std::string& bytes, const std::string& id) {
+    const auto asks = client(bytes, {id});
+    answered(asks);
+    quiet();
+    return asks->answers().at(0);
+}
+
 void House::quiet() {
     until([&] { return inFlight() == 0; });
     while (foyerLoop.poll() + worldLoop.poll() > 0) {
--- a/tests/gateway/scripted_pods.hpp
+++ b/tests/gateway/scripted_pods.hpp
@@ -64,6 +64,8 @@
     static void leave(const std::shared_ptr<Client>& client, bool reset);
     // Until the client has as many whole answers, or its connection ends.
     void answered(const std::shared_ptr<Client>& client, std::size_t answers = 1);
+    // One request on a connection of its own, to its answer, and until all is quiet.
+    Got exchange(const std::string& bytes, const std::string& id);
     // Until no try is in flight and no pod has a word left to say.
     void quiet();
     template <typename Done>
--- a/tests/gateway/stage.hpp
+++ b/tests/gateway/stage.hpp
@@ -7,7 +7,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "foyer/front.hpp"
-#include "transcript.hpp"
+#include "loop_stage.hpp"
 
 namespace stage {
 
@@ -83,10 +83,7 @@
     }
     template <typename Done>
     void until(Done done) {
-        for (int turns = 0; !done(); ++turns) {
-            CPPUNIT_ASSERT_MESSAGE("nothing happens any more", io.run_one_for(std::chrono::seconds(8)) > 0);
-            CPPUNIT_ASSERT(turns < 100'000);
-        }
+        loop_stage::until(io, 100'000, done);
     }
     void settle() {
         while (io.poll() > 0) {
--- a/tests/gateway/tries.cpp
+++ b/tests/gateway/tries.cpp
@@ -148,10 +148,7 @@
             const auto before = house.client(post(first), {first});
             house.answered(before);
             const auto id = idOf(static_cast<int>(cut));
-            const auto client = house.client(post(id), {id});
-            house.answered(client);
-            house.quiet();
-            const auto status = client->answers().at(0).status;
+            const auto status = house.exchange(post(id), id).status;
             CPPUNIT_ASSERT_EQUAL(1, house.runs[id]);
             // Cut in its reason phrase, the next one's first line is the rest of that: then this is the next
             // one.
@@ -163,10 +160,7 @@
             const auto before = house.client(post(first), {first});
             house.answered(before);
             house.say("A", surplus.substr(0, cut));
-            const auto client = house.client(post("next"), {"next"});
-            house.answered(client);
-            house.quiet();
-            CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(200, house.exchange(post("next"), "next").status);
             CPPUNIT_ASSERT_EQUAL(2, house.connections["A"]);
         }
     }
@@ -182,10 +176,7 @@
                                            "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
                                            std::string(size, 'b');
                         House house(each({bytes, Reply::close}));
-                        const auto client = house.client(post("mine"), {"mine"});
-                        house.answered(client);
-                        house.quiet();
-                        CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
+                        CPPUNIT_ASSERT_EQUAL(502, house.exchange(post("mine"), "mine").status);
                         CPPUNIT_ASSERT_EQUAL(1, house.arrivals["mine"]);
                     }
     }
@@ -203,32 +194,20 @@
             House one([&](const Arrival& arrival) {
                 return arrival.number == 1 ? Reply{refusal(status), Reply::keep, false} : Reply{ok()};
             });
-            const auto served = one.client(post("once"), {"once"});
-            one.answered(served);
-            one.quiet();
-            CPPUNIT_ASSERT_EQUAL(200, served->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(200, one.exchange(post("once"), "once").status);
             CPPUNIT_ASSERT_EQUAL(1, one.runs["once"]);
         }
         for (const int status : {408, 429, 503}) {
             House house(each({refusal(status, "")}));
-            const auto client = house.client(post("once"), {"once"});
-            house.answered(client);
-            house.quiet();
-            CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(502, house.exchange(post("once"), "once").status);
             CPPUNIT_ASSERT_EQUAL(1, house.arrivals["once"]);
         }
         // An address that can't be read is a pod that is not reached.
         House nowhere(each({ok()}), {});
         nowhere.casting->apply({0, {"N", "s", "nowhere", "z", "v1", 2, false, 0}, false}, now());
-        const auto lost = nowhere.client(post("lost"), {"lost"});
-        nowhere.answered(lost);
-        nowhere.quiet();
-        CPPUNIT_ASSERT_EQUAL(503, lost->answers().at(0).status);
+        CPPUNIT_ASSERT_EQUAL(503, nowhere.exchange(post("lost"), "lost").status);
         House wide(each({ok("{id}", "X-Wide: " + std::string(12'000, 'w') + "\r\n")}));
-        const auto client = wide.client(post("wide"), {"wide"});
-        wide.answered(client);
-        wide.quiet();
-        CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
+        CPPUNIT_ASSERT_EQUAL(200, wide.exchange(post("wide"), "wide").status);
     }
 
     // A kept connection that the pod has forgotten: its reset comes after our write, and nothing says that
@@ -237,24 +216,16 @@
         for (const bool write : {true, false}) {
             House house(each({ok()}), {"A"});
             house.repeatable.insert("next");
-            const auto before = house.client(post("frst"), {"frst"});
-            house.answered(before);
-            house.quiet();
+            house.exchange(post("frst"), "frst");
             house.forgetful.insert("A");
-            const auto client = house.client(write ? post("next") : get("next"), {"next"});
-            house.answered(client);
-            house.quiet();
-            CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(502, house.exchange(write ? post("next") : get("next"), "next").status);
             CPPUNIT_ASSERT_EQUAL(0, house.arrivals["next"]);
         }
         House house(each({ok()}));
         house.repeatable.insert("next");
         house.forgetful.insert("A");
         house.casting->actors().at("B")->pace = 9;  // A is asked first
-        const auto client = house.client(get("next"), {"next"});
-        house.answered(client);
-        house.quiet();
-        CPPUNIT_ASSERT_EQUAL(200, client->answers().at(0).status);
+        CPPUNIT_ASSERT_EQUAL(200, house.exchange(get("next"), "next").status);
         CPPUNIT_ASSERT_EQUAL(1, house.runs["next"]);
     }
 
@@ -392,10 +363,7 @@
             for (std::size_t cut = 100; cut <= whole.size() + 65'000; cut += 65'000)
                 for (const auto end : {Reply::close, Reply::reset}) {
                     House house(each({whole.substr(0, cut), end}));
-                    const auto client = house.client(post("once"), {"once"});
-                    house.answered(client);
-                    house.quiet();
-                    const auto answer = client->answers().at(0);
+                    const auto answer = house.exchange(post("once"), "once");
                     CPPUNIT_ASSERT_EQUAL(1, house.runs["once"]);
                     if (cut < whole.size()) CPPUNIT_ASSERT(answer.status == 502 || !answer.whole);
                     if (cut >= whole.size() && end == Reply::close)
@@ -420,10 +388,7 @@
             House house(each({ok()}),
                         pods[1] ? std::vector<std::string>{"A", "B"} : std::vector<std::string>{"A"});
             house.forgetful = {"A", "B"};
-            const auto client = house.client(long_, {"once"});
-            house.answered(client);
-            house.quiet();
-            CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(502, house.exchange(long_, "once").status);
             CPPUNIT_ASSERT_EQUAL(0, house.arrivals["once"]);
         }
     }
@@ -451,10 +416,7 @@
                 each({"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\nTransfer-Encoding: " +
                           std::string(coding) + "\r\n\r\nc\r\nbody of {id}\r\n0\r\n\r\n",
                       Reply::close}));
-            const auto client = house.client(post("once"), {"once"});
-            house.answered(client);
-            house.quiet();
-            CPPUNIT_ASSERT_EQUAL(502, client->answers().at(0).status);
+            CPPUNIT_ASSERT_EQUAL(502, house.exchange(post("once"), "once").status);
         }
         House house(each(
             {ok("{id}", "Connection: keep-alive\r\nConnection: X-Response-Seal, X-Hop\r\nX-Hop: 1\r\n")}));
--- a/tests/gateway/verdict.cpp
+++ b/tests/gateway/verdict.cpp
@@ -1,12 +1,13 @@
 // Rollouts judged: totals that come twice, late or from another life; on, back and hold.
+#include "callboard_stage.hpp"
 #include "company/company.hpp"
 #include "cues/cues.hpp"
 #include "transcript.hpp"
-#include "troupe/troupe.hpp"
 #include "verdict/rollout.hpp"
 #include "verdict/stages.hpp"
 
 using namespace lichenlanding;
+using callboard_stage::pod;
 using verdict::Counts, verdict::Totals;
 
 namespace {
@@ -116,9 +117,6 @@
     // Lists that come late or by another way bring nobody back; the differences mend any view.
     void listMonotone() {
         troupe::Troupe ahead, behind;
-        const auto member = [](const char* id, bool draining) {
-            return troupe::Member{id, "s", "a", "z", "v1", 2, draining, 0};
-        };
         const auto follow = [](troupe::Troupe& view, const std::vector<troupe::Member>& listed) {
             std::string seen;
             for (const auto& event : view.towards(listed, 0)) {
@@ -127,17 +125,15 @@
             }
             return seen;
         };
-        CPPUNIT_ASSERT_EQUAL(std::string("+a+b"), follow(ahead, {member("a", false), member("b", false)}));
-        CPPUNIT_ASSERT_EQUAL(std::string("~a"), follow(ahead, {member("a", true), member("b", false)}));
-        CPPUNIT_ASSERT_EQUAL(std::string(),
-                             follow(ahead, {member("a", false), member("b", false)}));  // an older list
+        CPPUNIT_ASSERT_EQUAL(std::string("+a+b"), follow(ahead, {pod("a"), pod("b")}));
+        CPPUNIT_ASSERT_EQUAL(std::string("~a"), follow(ahead, {pod("a", true), pod("b")}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), follow(ahead, {pod("a"), pod("b")}));  // an older list
         CPPUNIT_ASSERT_EQUAL(std::string("-a+c"), [&] {
-            auto seen = follow(ahead, {member("b", false), member("c", false)});
+            auto seen = follow(ahead, {pod("b"), pod("c")});
             return seen == "+c-a" ? std::string("-a+c") : seen;
         }());
-        CPPUNIT_ASSERT_EQUAL(std::string(),
-                             follow(ahead, {member("a", false), member("b", false), member("c", false)}));
-        CPPUNIT_ASSERT_EQUAL(std::string("+b+c"), follow(behind, {member("b", false), member("c", false)}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), follow(ahead, {pod("a"), pod("b"), pod("c")}));
+        CPPUNIT_ASSERT_EQUAL(std::string("+b+c"), follow(behind, {pod("b"), pod("c")}));
         CPPUNIT_ASSERT_EQUAL(ahead.members().size(), behind.members().size());
     }
 };
