--- a/src/prompter/keeper.cpp
+++ b/src/prompter/keeper.cpp
@@ -741,14 +741,16 @@
         if (peer.member.address.empty() || peer.member.disk.empty() || (anyEligible && !peer.eligible))
             continue;
         const bool seated = epoch_.number > 0 && epoch_.find(peer.member.address, peer.member.disk);
+        // One that lost its seat for its absence is not there to stand by either.
         // One that was out of reach while contact was lost, or was given a seat by others, has had no chance
         // to be heard.
         const Nanos quiet = now() - std::max(peer.heardAt, seated ? std::max(contactSince_, epochSince_) : 0);
-        all.push_back({peer.member, whole([&](const auto& key) {
-                           const auto at = peer.held.find(key);
-                           return at == peer.held.end() ? reg::Ballot{} : at->second;
-                       }),
-                       !peer.leaving && quiet <= (seated ? absentAfter : standsByFor)});
+        all.push_back(
+            {peer.member, whole([&](const auto& key) {
+                 const auto at = peer.held.find(key);
+                 return at == peer.held.end() ? reg::Ballot{} : at->second;
+             }),
+             !peer.leaving && quiet <= (seated ? absentAfter : std::min(standsByFor, absentAfter))});
     }
     // A member not heard of since this prompter began.
     if (epoch_.number > 0 && now() - std::max(contactSince_, epochSince_) <= absentAfter)
