Proxy: log clients that leave before their response

Cause: neither log nor counts told whether a proxy sees a client's close while its requests are unanswered. Change: event client_disconnected with the requests pending and the attempts in flight; proxy_stopped counts them. No change of logic.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -6,6 +6,7 @@
 #include "proxy/body_relay.hpp"
 #include "proxy/http_headers.hpp"
 #include "proxy/request_handler.hpp"
+#include "transport/log.hpp"
 
 namespace lichenlanding::proxy {
 
@@ -79,6 +80,15 @@
     idleTimeout_ = idleTimeout;
 }
 
+// The client has ended its side while requests of its are unanswered.
+void ClientConnection::reportDisconnect() const {
+    ++server_.stats.disconnected;
+    std::size_t inFlight = 0;
+    for (const auto& request : requests_) inFlight += routing::inFlight(request->routed.attempts);
+    log("client_disconnected",
+        {{"connection", number_}, {"requests", requests_.size()}, {"attempts_in_flight", inFlight}});
+}
+
 // The last of the two coroutines to end takes the connection with it.
 void ClientConnection::finish() {
     close();
@@ -89,7 +99,10 @@
 
 Task<> ClientConnection::readRequests(std::shared_ptr<ClientConnection> self) {
     while (!self->closed_) {
-        if (!co_await self->waitForBytes()) break;
+        if (!co_await self->waitForBytes()) {
+            if (!self->closed_ && !self->requests_.empty()) self->reportDisconnect();
+            break;
+        }
         if (self->lastResponseChosen_) continue;
         IncomingRequest incoming;
         co_await self->readRequest(incoming);
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -72,6 +72,7 @@
     transport::Task<transport::ErrorCode> writeResponse(std::shared_ptr<RequestContext> request, bool last);
     transport::Task<> linger();
 
+    void reportDisconnect() const;
     config::ClientLimits limits() const;
     void startIdle(Nanos idleTimeout);
     void finish();
--- a/src/proxy/http_server_context.hpp
+++ b/src/proxy/http_server_context.hpp
@@ -10,9 +10,10 @@
 
 /// Counted since the start.
 struct HttpServerStats {
-    std::uint64_t served = 0;    ///< a host's answer was passed on
-    std::uint64_t rejected = 0;  ///< a local reply, and the request was not executed
-    std::uint64_t failed = 0;    ///< a local reply, and the request may have been executed
+    std::uint64_t served = 0;        ///< a host's answer was passed on
+    std::uint64_t rejected = 0;      ///< a local reply, and the request was not executed
+    std::uint64_t failed = 0;        ///< a local reply, and the request may have been executed
+    std::uint64_t disconnected = 0;  ///< clients that left while requests of theirs were unanswered
     /// Ends of attempts that the table of attempts does not have: faults of the proxy, 0 in a right program.
     std::uint64_t invalidTransitions = 0;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -181,7 +181,8 @@
         log("proxy_stopped", {{"open", httpServer_.openConnections()},
                               {"served", stats.served},
                               {"rejected", stats.rejected},
-                              {"failed", stats.failed}});
+                              {"failed", stats.failed},
+                              {"disconnected", stats.disconnected}});
         io_.stop();
     }
 
