--- a/bench/days/generate.cpp
+++ b/bench/days/generate.cpp
@@ -305,7 +305,7 @@
             case 4:
                 faults_.push_back({.at = at,
                                    .kind = "herd_kill",
-                                   .how = chance_.of({"", "power", "taken"}),
+                                   .how = chance_.of({"", "power", "off", "taken", "taken all"}),
                                    .core = true,
                                    .forS = forS});
                 return 15;
@@ -320,7 +320,7 @@
             case 7:
                 faults_.push_back({.at = at,
                                    .kind = "after_ack_wipe",
-                                   .how = chance_.of({"", "timed", "taken"}),
+                                   .how = chance_.of({"", "timed", "taken", "oldest"}),
                                    .count = lost(),
                                    .forS = forS});
                 return forS;
@@ -346,7 +346,8 @@
             default: {  // 11 to 13
                 // Every other cut lasts long: whoever is behind it has time to hand out what it holds.
                 if (chance_.in(0.5)) forS = chance_.between(15, std::max(16.0, std::min(35.0, length_ / 2)));
-                std::string how = aimed(true), which = chance_.of({"", "", "one_way", "seeds", "both"});
+                std::string how = aimed(true), which = chance_.of({"", "", "one_way", "seeds", "both",
+                                                                   "split", "near", "oldest", "relieve"});
                 if (!which.empty()) how = which + (how.empty() ? "" : " " + how);
                 if (chance_.in(0.2))
                     how += std::string(how.empty() ? "" : " ") + chance_.of({"reset", "refuse"});
@@ -377,7 +378,7 @@
     void season() {
         for (int n = chance_.whole(1, 3); n > 0; --n) {
             double at = moment(), forS = chance_.between(2, 6);
-            switch (chance_.whole(0, 13)) {
+            switch (chance_.whole(0, 15)) {
                 case 8:
                     faults_.push_back({.at = at, .kind = "srv_slow", .share = 0.2, .x = 4, .forS = forS});
                     break;
@@ -409,6 +410,16 @@
                                      .front = true});
                     break;
                 }
+                case 14:
+                case 15:
+                    // Slow pods beside them: else few requests last until their clients leave.
+                    faults_.push_back({.at = at,
+                                       .kind = "give_up",
+                                       .share = chance_.between(0.2, 1.0),
+                                       .x = chance_.between(20, 400),
+                                       .forS = forS});
+                    faults_.push_back({.at = at, .kind = "srv_slow", .share = 0.4, .x = 5, .forS = forS});
+                    break;
                 case 0:
                     plan_.push_back({.at = at, .kind = "scale_in", .share = 0.1});
                     break;
@@ -425,7 +436,7 @@
                 case 4:
                     faults_.push_back({.at = at,
                                        .kind = "garble",
-                                       .how = "extra late",
+                                       .how = chance_.of({"", "extra", "unframed", "early"}),
                                        .share = 0.6,
                                        .x = 0.03,
                                        .forS = forS});
--- a/tests/proxy/client_disconnect.cpp
+++ b/tests/proxy/client_disconnect.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(closeDuringALargeResponse);
     CPPUNIT_TEST(noRetryAfterTheClientHasLeft);
     CPPUNIT_TEST(noHedgedRequestAfterTheClientHasLeft);
+    CPPUNIT_TEST(hedgedRequestEndsAtBothPods);
     CPPUNIT_TEST(unrepeatableRequestRunsOn);
     CPPUNIT_TEST(seriesOfLeavingClients);
     CPPUNIT_TEST_SUITE_END();
@@ -167,6 +168,18 @@
         CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals["slow"]);
     }
 
+    void hedgedRequestEndsAtBothPods() {
+        for (const bool reset : {true, false}) {
+            ProxyFixture fixture(silentPods());
+            fixture.repeatable.insert("both");
+            const auto client = fixture.client(get("both", kDeadlineMillis, "", "/quick/1"));
+            fixture.until([&] { return fixture.arrivals["both"] == 2; });
+            ProxyFixture::disconnect(client, reset);
+            fixture.until([&] { return openAtPods(fixture) == 0; });
+            fixture.awaitQuiet();
+        }
+    }
+
     // It may be at work, and a close would not tell whether it was done.
     void unrepeatableRequestRunsOn() {
         for (const bool reset : {true, false}) {
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,271 @@
+// A soak of the gateway's own programs on loopback: clients keep using their connections while signals,
+// restarts, freezes and changes of the configuration come in series and overlap. Everything is drawn from a
+// seed (what the machine makes of it is not). Prints what was broken; exit status 1 where something was.
+//
+//   lichenlanding_soak [--seed N] [--seconds N] [--proxies N] [--clients N]
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "soak/soak_world.hpp"
+
+namespace soak {
+namespace {
+
+constexpr const char* kGrace = "2000ms";
+constexpr Nanos kEndsWithin = 2500 * kMillisecond;  // the grace, and what a busy machine adds
+constexpr Nanos kSettleWithin = 30 * kSecond;
+constexpr int kPods = 12;
+constexpr int kCoreNodes = 3;
+
+struct Options {
+    std::uint32_t seed = 1;
+    int seconds = 15;
+    int proxies = 4;
+    int clients = 24;
+};
+
+class Soak {
+  public:
+    explicit Soak(const Options& options)
+        : options_(options), chance_(options.seed), pods_(cluster_, ledger_, kPods) {
+        cluster_.grace = kGrace;
+        for (int number = 1; number <= options.proxies; ++number)
+            proxies_.push_back("e" + std::to_string(number));
+        for (int number = 1; number <= kCoreNodes; ++number) core_.push_back("c" + std::to_string(number));
+    }
+
+    // True where no rule was broken.
+    bool run() {
+        start();
+        Clients clients(cluster_, ledger_, proxies_, options_.seed);
+        clients.start(options_.clients);
+        spawn(cluster_.io, "operator", changeConfiguration());
+        spawn(cluster_.io, "proxy trouble", disturbProxies());
+        spawn(cluster_.io, "core trouble", disturbCore());
+        const Nanos end = now() + options_.seconds * kSecond;
+        drive([&] { return now() >= end; }, end + kSecond);
+        stopping_ = true;
+        drive([&] { return tasks_ == 0; }, now() + kSettleWithin);
+        clients.stop();
+        drive([&] { return clients.ended(); }, now() + kSettleWithin);
+        if (tasks_ > 0 || !clients.ended()) ledger_.violate("STUCK", "tasks of the soak did not end");
+        readBack();
+        judgeLedger(ledger_);
+        report();
+        return ledger_.violations.empty();
+    }
+
+  private:
+    // ---- Processes. ----
+
+    void start() {
+        for (const auto& name : core_) cluster_.launch(name);
+        for (const auto& name : core_) cluster_.await(name, "register_synchronized");
+        for (const auto& name : proxies_) cluster_.launch(name);
+        version_ = 3;
+        if (cluster_.replace("c1", Cluster::configuration(version_, "/first/")) != 200)
+            ledger_.violate("CONFIG", "the first configuration was not taken");
+        acknowledged_ = version_;
+        for (const auto& name : proxies_) cluster_.await(name, "readiness_gained");
+    }
+
+    template <typename Done>
+    void drive(Done done, Nanos until) {
+        while (!done() && now() < until) cluster_.io.run_one_for(std::chrono::milliseconds(20));
+    }
+
+    void signal(const std::string& name, int number) {
+        const auto id = cluster_.programs[name].id;
+        if (id > 0) kill(id, number);
+    }
+
+    void noteTrouble(const std::string& name) { ledger_.disturbances[name].push_back(now()); }
+
+    // Until the process has ended. False where it has not in time; then it is killed.
+    Task<bool> awaitEnd(std::string name, Nanos until) {
+        auto& program = cluster_.programs[name];
+        while (waitpid(program.id, &program.status, WNOHANG) == 0) {
+            if (now() > until) {
+                noteTrouble(name);
+                cluster_.stop(program, SIGKILL);
+                co_return false;
+            }
+            co_await sleep(10 * kMillisecond);
+        }
+        program.id = -1;
+        co_return true;
+    }
+
+    // One signal, or several that overlap with what the first has begun; then a new start.
+    Task<> terminate(std::string name) {
+        const int more = static_cast<int>(chance_() % 3);
+        const bool reloads = chance_() % 3 == 0;
+        if (reloads) signal(name, SIGHUP);
+        signal(name, SIGTERM);
+        const Nanos end = now() + kEndsWithin;
+        for (int at = 0; at < more; ++at) {
+            co_await sleep(static_cast<Nanos>(chance_() % 300) * kMillisecond);
+            signal(name, chance_() % 2 == 0 ? SIGTERM : SIGHUP);
+        }
+        const bool ended = co_await awaitEnd(name, end);
+        const int status = cluster_.programs[name].status;
+        if (!ended) ledger_.violate("GRACE", name + " had not ended after " + kGrace);
+        else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+            ledger_.violate("EXIT", name + " ended with status " + std::to_string(status));
+        co_await relaunch(name);
+    }
+
+    Task<> killHard(std::string name) {
+        noteTrouble(name);
+        signal(name, SIGKILL);
+        co_await awaitEnd(name, now() + kSecond);
+        co_await relaunch(name);
+    }
+
+    Task<> freeze(std::string name) {
+        noteTrouble(name);
+        signal(name, SIGSTOP);
+        co_await sleep(static_cast<Nanos>(50 + chance_() % 1500) * kMillisecond);
+        noteTrouble(name);
+        signal(name, SIGCONT);
+    }
+
+    Task<> reloadInSeries(std::string name) {
+        for (int times = 1 + static_cast<int>(chance_() % 6); times > 0; --times) {
+            signal(name, SIGHUP);
+            co_await sleep(static_cast<Nanos>(chance_() % 40) * kMillisecond);
+        }
+    }
+
+    Task<> relaunch(std::string name) {
+        co_await sleep(static_cast<Nanos>(10 + chance_() % 400) * kMillisecond);
+        cluster_.launch(name, false);
+        co_await sleep(100 * kMillisecond);  // its handlers of signals are there by then
+    }
+
+    // ---- Trouble. ----
+
+    Task<> during(std::string name, Task<> trouble) {
+        ++tasks_;
+        busy_.insert(name);
+        co_await std::move(trouble);
+        busy_.erase(name);
+        --tasks_;
+    }
+
+    Task<> drawTrouble(const std::string& name) {
+        switch (chance_() % 8) {
+            case 0:
+                return killHard(name);
+            case 1:
+                return freeze(name);
+            case 2:
+            case 3:
+                return reloadInSeries(name);
+            default:
+                return terminate(name);
+        }
+    }
+
+    // Half of the proxies at most are in trouble at once.
+    Task<> disturbProxies() {
+        ++tasks_;
+        while (!stopping_) {
+            co_await sleep(static_cast<Nanos>(chance_() % 500) * kMillisecond);
+            int series = 1 + static_cast<int>(chance_() % std::max(options_.proxies / 4, 1));
+            for (; series > 0; --series) {
+                const auto name = proxies_[chance_() % proxies_.size()];
+                if (busy_.contains(name) || busy_.size() * 2 >= proxies_.size()) continue;
+                spawn(cluster_.io, "trouble", during(name, drawTrouble(name)));
+            }
+        }
+        --tasks_;
+    }
+
+    // One control node at a time: the deployment bears the loss of one.
+    Task<> disturbCore() {
+        ++tasks_;
+        while (!stopping_) {
+            co_await sleep(static_cast<Nanos>(500 + chance_() % 2500) * kMillisecond);
+            const auto name = core_[chance_() % core_.size()];
+            co_await drawTrouble(name);
+        }
+        --tasks_;
+    }
+
+    // ---- The operator. ----
+
+    Task<> changeConfiguration() {
+        ++tasks_;
+        while (!stopping_) {
+            co_await sleep(static_cast<Nanos>(chance_() % 700) * kMillisecond);
+            ++version_;
+            const auto body = Cluster::configuration(version_, "/v" + std::to_string(version_) + "/");
+            const auto node = core_[chance_() % core_.size()];
+            const int status = co_await cluster_.callAsync(cluster_.at(node, cluster_.control),
+                                                           "/api/rpc?call=config.replace", body);
+            if (status == 200) acknowledged_ = version_;
+            if (status / 100 == 4)
+                ledger_.violate("CONFIG",
+                                std::to_string(version_) + " was refused with " + std::to_string(status));
+        }
+        --tasks_;
+    }
+
+    // What was acknowledged last is there, or something later.
+    void readBack() {
+        for (const auto& name : core_)
+            cluster_.until("the configuration is read back", [&] {
+                const auto [status, body] = cluster_.rpc(name, "config.read");
+                if (status != 200) return false;
+                const auto held = std::stoul(std::string(Json::parse(body)["config_version"]), nullptr, 16);
+                if (held < static_cast<unsigned long>(acknowledged_))
+                    ledger_.violate("CONFIG", name + " holds " + std::to_string(held) +
+                                                  ", acknowledged was " + std::to_string(acknowledged_));
+                return true;
+            });
+    }
+
+    void report() {
+        std::cout << "seed " << options_.seed << ": " << options_.proxies << " proxies, "
+                  << ledger_.requests.size() << " requests, " << ledger_.answered << " answered, "
+                  << ledger_.refused << " refused, " << ledger_.failed << " failed, " << ledger_.cut
+                  << " cut, " << ledger_.left << " left, configuration " << acknowledged_ << "; "
+                  << ledger_.violations.size() << " violations" << std::endl;
+        for (const auto& violation : ledger_.violations) std::cout << "  " << violation << std::endl;
+    }
+
+    Options options_;
+    std::mt19937 chance_;
+    Cluster cluster_;
+    Ledger ledger_;
+    Pods pods_;
+    std::vector<std::string> proxies_, core_;
+    std::set<std::string> busy_;  // proxies in trouble
+    int tasks_ = 0;
+    int version_ = 0, acknowledged_ = 0;
+    bool stopping_ = false;
+};
+
+}  // namespace
+}  // namespace soak
+
+int main(int count, char** words) {
+    std::signal(SIGPIPE, SIG_IGN);
+    soak::Options options;
+    CLI::App app("Soak of the gateway on loopback");
+    app.add_option("--seed", options.seed);
+    app.add_option("--seconds", options.seconds)->check(CLI::Range(1, 600));
+    app.add_option("--proxies", options.proxies)->check(CLI::Range(1, 250));
+    app.add_option("--clients", options.clients)->check(CLI::Range(1, 2000));
+    CLI11_PARSE(app, count, words);
+    try {
+        const bool kept = soak::Soak(options).run();
+        std::cout << (kept ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
+        return kept ? 0 : 1;
+    } catch (const std::exception& error) {
+        std::cout << "soak: seed " << options.seed << ": " << error.what() << "\n0 passed, 1 failed"
+                  << std::endl;
+        return 1;
+    }
+}
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -80,7 +80,7 @@
                       {"data_dir", disk},
                       {"limits", {{"disk_mb", 64}}},
                       {"fault_tolerance", {{"machines", 1}}},
-                      {"bounds", {"grace=600ms"}},
+                      {"bounds", {"grace=" + grace}},
                       {"cloud_api",
                        {{"address", "127.0.0.1:" + std::to_string(platform->local_endpoint().port())},
                         {"rate_per_s", 40.0}}},
@@ -99,7 +99,8 @@
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_adddup2(&actions, ends[1], 2);
         posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
-        posix_spawn_file_actions_addclose(&actions, ends[0]);
+        // No socket of this process stays open in another one: its close would not be seen.
+        posix_spawn_file_actions_addclosefrom_np(&actions, 3);
         words.insert(words.begin(), GATEWAY);
         std::vector<char*> arguments;
         std::vector<char*> variables;
@@ -142,6 +143,14 @@
         while (!done) CPPUNIT_ASSERT(io.run_one_for(std::chrono::seconds(15)) > 0);
         return answer;
     }
+    // A POST without waiting for it in place; its status, 0 where nobody answers.
+    Task<int> callAsync(std::string address, std::string target, std::string body) {
+        std::pair<int, std::string> answer{0, ""};
+        bool done = false;
+        co_await ask(std::move(address), http::verb::post, std::move(target), std::move(body), "", answer,
+                     done);
+        co_return answer.first;
+    }
     std::pair<int, std::string> rpc(const std::string& name, const std::string& what,
                                     const std::string& body = "") {
         return call(at(name, control), http::verb::post, "/api/rpc?call=" + what, body);
@@ -177,7 +186,7 @@
     }
 
     asio::io_context io{1};
-    std::string folder;
+    std::string folder, grace = "600ms";
     unsigned internal = 0, control = 0, front = 0, probe = 0;
     std::unique_ptr<tcp::acceptor> platform;
     std::vector<std::unique_ptr<tcp::acceptor>> podAcceptors;
