Routing: in a large fleet a proxy prefers a subset of its zone's hosts; long lists are polled by drain

Change: HostSubset (rendezvous hashing of proxy and host, eight proxies for a host, 12 hosts at least); small fleets prefer all. Lists of several pages are polled every quarter of drain. The cluster fixture bounds its wait for a log line as a whole: beside other traffic it had none.

--- a/src/control_plane/endpoint_discovery.cpp
+++ b/src/control_plane/endpoint_discovery.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Nanos kPollInterval = 500 * kMillisecond;
+constexpr int kPollsPerDrain = 4;
 constexpr Nanos kRetryInterval = 300 * kMillisecond;  // after a list that could not be read to its end
 constexpr Nanos kWithoutLeaseInterval = kRetryInterval / 3;
 constexpr Nanos kMinPause = 20 * kMillisecond;
@@ -30,6 +31,12 @@
                : 0;
 }
 
+/// Each call to the platform is priced: a list of several pages is read as often as leaves a draining pod
+/// known within half of `drain`, with a part of that for the reading itself and for telling the proxies.
+Nanos EndpointDiscovery::pollInterval(int pages) const {
+    return pages > 1 ? std::max(kPollInterval, boot_.drainTime / kPollsPerDrain) : kPollInterval;
+}
+
 Task<> EndpointDiscovery::run() {
     EndpointListClient client(io_, boot_);
     for (;;) {
@@ -43,8 +50,8 @@
         const auto list = co_await readList(client, term);
         if (list.complete) restarted_ = false;
         if (list.complete && term_() == term) onListRead(list.endpoints, term);
-        const Nanos interval =
-            std::max(list.complete ? kPollInterval : kRetryInterval, requestGap() * list.requests);
+        const Nanos interval = std::max(list.complete ? pollInterval(list.requests) : kRetryInterval,
+                                        requestGap() * list.requests);
         co_await sleep(std::max(startedAt + interval - now(), kMinPause));
     }
 }
--- a/src/control_plane/endpoint_discovery.hpp
+++ b/src/control_plane/endpoint_discovery.hpp
@@ -35,6 +35,7 @@
     };
 
     Nanos requestGap() const;
+    Nanos pollInterval(int pages) const;
     transport::Task<EndpointList> readList(EndpointListClient& client, std::uint64_t term);
     transport::Task<> readPages(EndpointListClient& client, std::uint64_t term, EndpointList& list);
     bool readOn(std::uint64_t term, bool firstPage, Nanos startedAt);
--- a/src/routing/host_selection.cpp
+++ b/src/routing/host_selection.cpp
@@ -13,6 +13,7 @@
 constexpr double kLoadWeight = 0.15;  // of each request at a host, against its slots
 // A difference between zones that moves nothing to another zone: bytes between zones are priced.
 constexpr double kZoneWaitTolerance = 0.3;
+constexpr std::size_t kSubsetLeft = 6;    // available hosts of the subset; with fewer, others of the zone
 constexpr double kZoneWaitWeight = 0.03;  // of the newest report in its zone's usual wait
 
 double slotsOf(const UpstreamHost& host) { return std::max(host.endpoint.slots, 1); }
@@ -70,8 +71,11 @@
             leastCost = hostCost;
         }
     };
-    draw(candidates.ownZone, 2);
-    draw(candidates.otherZones, candidates.ownZone.empty() ? 2 : 1);
+    const auto& ownZone = candidates.ownZone.size() >= kSubsetLeft || candidates.ownZoneRest.empty()
+                              ? candidates.ownZone
+                              : candidates.ownZoneRest;
+    draw(ownZone, 2);
+    draw(candidates.otherZones, ownZone.empty() ? 2 : 1);
     if (!best) draw(candidates.backedOff, 2);
     return best;
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -14,6 +14,7 @@
 constexpr double kConnectionsPart = 0.8;           // of a host's connections, that proxies share
 constexpr double kDefaultConnections = 2;  // at one proxy, where the configuration has no such service
 constexpr int kLeastConnections = 2;
+constexpr int kLeastToPreferred = 4;  // to a host of this proxy's subset, which few others meet
 
 bool isFailure(AttemptEvent end, int status) {
     return end == AttemptEvent::connectionLost || end == AttemptEvent::malformed ||
@@ -21,7 +22,7 @@
 }
 
 void keepVersion(Candidates& candidates, const std::string& version) {
-    for (auto* hosts : {&candidates.ownZone, &candidates.otherZones})
+    for (auto* hosts : {&candidates.ownZone, &candidates.ownZoneRest, &candidates.otherZones})
         std::erase_if(*hosts, [&](const auto* host) { return (*host)->endpoint.version != version; });
 }
 
@@ -31,7 +32,8 @@
     : chance_(seed),
       retryBudget_(settings.retryBudgetRatio, settings.retrySlack, settings.retryBudgetWindow),
       canaries_(settings.exposureShare, settings.exposureSlack),
-      selection_(settings.zone) {}
+      selection_(settings.zone),
+      subset_(settings.name) {}
 
 // ---- What is known. ----
 
@@ -40,12 +42,18 @@
     configuration_ = std::move(configuration);
 }
 
+void Router::setProxyCount(std::size_t proxies, Nanos now) {
+    retryBudget_.setProxyCount(proxies, now);
+    subsetsStale_ = true;
+}
+
 void Router::applyEndpointEvent(const discovery::EndpointEvent& event, Nanos now) {
     const auto& endpoint = event.endpoint;
     auto at = hosts_.find(endpoint.id);
     if (event.removed) {
         if (at == hosts_.end()) return;
         at->second->gone = true;
+        subsetsStale_ = true;
         std::erase(hostsByService_[at->second->endpoint.service], at->second);
         hosts_.erase(at);
         return;
@@ -55,6 +63,8 @@
         host->endpoint = endpoint;
         host->firstSeen = now;
         host->slowStartUntil = now + endpoint.warmup;
+        host->subsetRank = subset_.rankOf(endpoint.id);
+        subsetsStale_ = true;
         at = hosts_.emplace(endpoint.id, host).first;
         hostsByService_[endpoint.service].push_back(host);
         canaries_.onHostAdded(endpoint);
@@ -90,6 +100,19 @@
            request.deadline - now > kLeastTimeLeft;
 }
 
+// Proxies are taken to be spread over the zones as hosts are.
+void Router::updateSubsets() {
+    if (!std::exchange(subsetsStale_, false)) return;
+    for (const auto& [_, hosts] : hostsByService_) {
+        std::vector<std::shared_ptr<UpstreamHost>> ownZone;
+        std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(ownZone),
+                     [&](const auto& host) { return host->endpoint.zone == selection_.ownZone(); });
+        const auto proxies =
+            retryBudget_.proxyCount() * ownZone.size() / std::max<std::size_t>(hosts.size(), 1);
+        HostSubset::markPreferred(std::move(ownZone), proxies);
+    }
+}
+
 // DRAIN, ROUTE: hosts that the request has not been sent to, which neither leave nor have a version that
 // takes none.
 Router::CandidatesByRole Router::candidatesFor(const RoutedRequest& request, Nanos now) const {
@@ -103,9 +126,11 @@
                                        [&](const auto& attempt) { return attempt->host() == host; });
         if (tried) continue;
         auto& ofRole = role == VersionRole::canary ? candidates.canary : candidates.stable;
+        const bool anyOfZone = host->preferred || role == VersionRole::canary;
         auto& list = !isAvailable(*host, now)                      ? ofRole.backedOff
-                     : host->endpoint.zone == selection_.ownZone() ? ofRole.ownZone
-                                                                   : ofRole.otherZones;
+                     : host->endpoint.zone != selection_.ownZone() ? ofRole.otherZones
+                     : anyOfZone                                   ? ofRole.ownZone
+                                                                   : ofRole.ownZoneRest;
         list.push_back(&host);
     }
     return candidates;
@@ -113,6 +138,7 @@
 
 // Where none of a canary's hosts can take it, a stable one that is backed off is the last resort.
 std::shared_ptr<UpstreamHost> Router::selectHost(const RoutedRequest& request, bool retry, Nanos now) {
+    updateSubsets();
     auto candidates = candidatesFor(request, now);
     const auto canary = canaries_.choose(request.service, candidates.canary, retry, now);
     if (!canary) return selection_.select(candidates.stable, now, chance_);
@@ -178,7 +204,8 @@
     const double share = service ? static_cast<double>(service->maxConnections) * kConnectionsPart /
                                        static_cast<double>(retryBudget_.proxyCount())
                                  : kDefaultConnections;
-    return std::max(kLeastConnections, static_cast<int>(share));
+    const int least = host.preferred ? kLeastToPreferred : kLeastConnections;
+    return std::max(least, static_cast<int>(share));
 }
 
 const verdict::Totals& Router::totals(const std::string& service, const std::string& target) const {
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -17,6 +17,7 @@
 #include "routing/canary.hpp"
 #include "routing/hedge_policy.hpp"
 #include "routing/host_selection.hpp"
+#include "routing/host_subset.hpp"
 #include "routing/local_reply.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/upstream_host.hpp"
@@ -42,7 +43,7 @@
     void applyEndpointEvent(const discovery::EndpointEvent& event, Nanos now);
     /// So many proxies are known, this one among them. Shares of what the fleet may spend shrink at once, and
     /// grow only when fewer have been known over a whole window.
-    void setProxyCount(std::size_t proxies, Nanos now) { retryBudget_.setProxyCount(proxies, now); }
+    void setProxyCount(std::size_t proxies, Nanos now);
     void setRollouts(std::vector<messages::Rollout> rollouts, Nanos now);
     const std::vector<messages::Rollout>& rollouts() const { return canaries_.rollouts(); }
     /// To be added to `now` for a time that all proxies have much alike.
@@ -84,6 +85,7 @@
     };
     bool mayAttemptAgain(const RoutedRequest& request, Nanos now) const;
     CandidatesByRole candidatesFor(const RoutedRequest& request, Nanos now) const;
+    void updateSubsets();
     std::shared_ptr<UpstreamHost> selectHost(const RoutedRequest& request, bool retry, Nanos now);
 
     std::mt19937_64 chance_;
@@ -94,6 +96,8 @@
     CanaryExposure canaries_;
     HostSelection selection_;
     HedgePolicy hedging_;
+    HostSubset subset_;
+    bool subsetsStale_ = true;  // hosts or proxies have come or gone since they were marked
     bool endpointsKnown_ = false;
 };
 
--- a/src/routing/upstream_host.hpp
+++ b/src/routing/upstream_host.hpp
@@ -18,13 +18,15 @@
     int connections = 0;  ///< open from this proxy; counted by proxy::UpstreamConnection
     Nanos firstSeen = 0;
     Nanos slowStartUntil = 0;
-    Nanos backoffUntil = 0;       ///< nothing is sent to it before, while others can take it
-    int consecutiveFailures = 0;  ///< attempts without an answer, in a row
-    double relativeLatency = 1;   ///< its answers' times against the route's usual one, averaged
-    int reportedLoad = 0;         ///< requests, running and waiting, by its last report
-    int inFlightAtReport = 0;     ///< `inFlight` at that moment
-    Nanos reportedAt = 0;         ///< 0: it has not reported
-    Nanos unansweredSince = 0;    ///< since when attempts are in flight without any answer; 0: none are
+    Nanos backoffUntil = 0;        ///< nothing is sent to it before, while others can take it
+    int consecutiveFailures = 0;   ///< attempts without an answer, in a row
+    double relativeLatency = 1;    ///< its answers' times against the route's usual one, averaged
+    int reportedLoad = 0;          ///< requests, running and waiting, by its last report
+    int inFlightAtReport = 0;      ///< `inFlight` at that moment
+    Nanos reportedAt = 0;          ///< 0: it has not reported
+    std::uint64_t subsetRank = 0;  ///< see HostSubset
+    bool preferred = true;         ///< in this proxy's subset of its zone
+    Nanos unansweredSince = 0;     ///< since when attempts are in flight without any answer; 0: none are
 };
 
 /// Whether attempts are sent to it while there are others: it is neither leaving nor backed off nor silent.
@@ -52,7 +54,7 @@
 /// Hosts among which one is chosen; the pointers are into the router's list of hosts, and as short-lived.
 using HostRefs = std::vector<const std::shared_ptr<UpstreamHost>*>;
 struct Candidates {
-    HostRefs ownZone, otherZones, backedOff;
+    HostRefs ownZone, ownZoneRest, otherZones, backedOff;  ///< `ownZoneRest`: not in the proxy's subset
 };
 
 }  // namespace lichenlanding::routing
--- a/tests/routing/router.cpp
+++ b/tests/routing/router.cpp
@@ -2,6 +2,8 @@
 // Times are made up; chance is seeded.
 #include "routing/router.hpp"
 
+#include <set>
+
 #include "support/transcript.hpp"
 
 using namespace lichenlanding;
@@ -87,6 +89,7 @@
     CPPUNIT_TEST(silentHostsGetNothing);
     CPPUNIT_TEST(hostWithNothingInFlightIsNotSilent);
     CPPUNIT_TEST(hedgesNotSentAreNoTraffic);
+    CPPUNIT_TEST(largeFleetStaysWithinItsSubset);
     CPPUNIT_TEST(cancelledAttemptsBackOffFromNoHost);
     CPPUNIT_TEST(cancelledAttemptsCountWithTheTimeTheyHad);
     CPPUNIT_TEST(fullZoneSendsAPartElsewhere);
@@ -420,6 +423,28 @@
         }
     }
 
+    // With hundreds of proxies a few of the hosts are met; those beyond are when most of these are gone.
+    void largeFleetStaysWithinItsSubset() {
+        RouterFixture fixture(200);
+        fixture.router->setProxyCount(100, fixture.now);
+        const auto draw = [&] {
+            std::set<std::string> met;
+            for (int at = 0; at < 500; ++at) {
+                auto request = fixture.begin(kRepeatable);
+                met.insert(fixture.send(request));
+                fixture.end(request, AttemptEvent::answered);
+            }
+            return met;
+        };
+        const auto met = draw();
+        constexpr std::size_t kPreferred = 200 * 8 / 100;  // hosts, eight proxies for each, 100 proxies
+        CPPUNIT_ASSERT(met.size() <= kPreferred && met.size() > kPreferred / 2);
+        for (const auto& host : met) fixture.list(host, "v1", true);
+        const auto others = draw();
+        CPPUNIT_ASSERT(others.size() > kPreferred);
+        for (const auto& host : others) CPPUNIT_ASSERT_MESSAGE(host, !met.contains(host));
+    }
+
     // A client that leaves says nothing ill of the host: only that its answer would have taken longer.
     void cancelledAttemptsBackOffFromNoHost() {
         RouterFixture fixture;
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -125,10 +125,11 @@
     // Until the program has logged `event`, after the first `from` lines.
     std::size_t await(const std::string& name, const std::string& event, std::size_t from = 0) {
         auto& lines = programs[name].lines;
+        const Nanos end = now() + 40 * kSecond;
         for (std::size_t line = from;;) {
             for (; line < lines.size(); ++line)
                 if (lines[line].value("event", "") == event) return line + 1;
-            if (io.run_one_for(std::chrono::seconds(15)) > 0) continue;
+            if (io.run_one_for(std::chrono::seconds(15)) > 0 && now() < end) continue;
             std::string all;
             for (const auto& seen : lines) all += seen.dump() + "\n";
             CPPUNIT_FAIL(name + " never said " + event + "; it said\n" + all);
