--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -79,6 +79,10 @@
         if (id > 0) kill(id, number);
     }
 
+    static std::string lastLine(const Program& program) {
+        return program.lines.empty() ? "no line" : program.lines.back().dump();
+    }
+
     void noteTrouble(const std::string& name) { ledger_.disturbances[name].push_back(now()); }
 
     // Until the process has ended. False where it has not in time; then it is killed.
@@ -111,7 +115,8 @@
         const int status = cluster_.programs[name].status;
         if (!ended) ledger_.violate("GRACE", name + " had not ended after " + kGrace);
         else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
-            ledger_.violate("EXIT", name + " ended with status " + std::to_string(status));
+            ledger_.violate("EXIT", name + " ended with status " + std::to_string(status) + ", after " +
+                                        lastLine(cluster_.programs[name]));
         co_await relaunch(name);
     }
 
@@ -145,9 +150,9 @@
 
     // ---- Trouble. ----
 
+    // `name` is in busy_ and counted in tasks_ before this starts: else another trouble could be drawn for
+    // it.
     Task<> during(std::string name, Task<> trouble) {
-        ++tasks_;
-        busy_.insert(name);
         co_await std::move(trouble);
         busy_.erase(name);
         --tasks_;
@@ -176,6 +181,8 @@
             for (; series > 0; --series) {
                 const auto name = proxies_[chance_() % proxies_.size()];
                 if (busy_.contains(name) || busy_.size() * 2 >= proxies_.size()) continue;
+                ++tasks_;
+                busy_.insert(name);
                 spawn(cluster_.io, "trouble", during(name, drawTrouble(name)));
             }
         }
