--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -39,10 +39,10 @@
         auto made = (std::filesystem::temp_directory_path() / "cluster-XXXXXX").string();
         CPPUNIT_ASSERT(mkdtemp(made.data()));
         folder = made;
-        for (auto* port : {&internal, &control, &front, &probe}) {
-            tcp::acceptor free(listen(io, "127.0.0.1:0"));
-            *port = free.local_endpoint().port();
-        }
+        // On addresses where the programs will listen: another cluster beside this one may hold the port
+        // there.
+        for (auto* port : {&internal, &control}) *port = freePort(ip("c1"));
+        for (auto* port : {&front, &probe}) *port = freePort(ip("e1"));
         platform = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
         lichenlanding::transport::spawn(
             io, "platform", accept(*platform, [this](const auto& request) { return list(request); }));
@@ -59,6 +59,10 @@
         std::filesystem::remove_all(folder);
     }
 
+    unsigned freePort(const std::string& address) {
+        tcp::acceptor free(listen(io, address + ":0"));
+        return free.local_endpoint().port();
+    }
     static std::string ip(const std::string& name) {
         return (name[0] == 'c' ? "127.0.1." : "127.0.2.") + name.substr(1);
     }
