Rollouts: an order for the version in service leaves it in service

Cause: which version is in service before any rollout has completed was inferred from "no rollout names it".

Change: the inference is a class of its own, StableVersions. A version that was the only one listed while hosts and rollouts were known is settled; a rollout of its own takes nothing from it. A proxy that starts later takes the only listed version for stable while its rollout runs. No order is rolled back before most of its voters were heard, and a voter without an endpoint list does not vote.

--- a/src/control_plane/link_messages.cpp
+++ b/src/control_plane/link_messages.cpp
@@ -20,6 +20,7 @@
 constexpr const char* kVoter = "from";
 constexpr const char* kVerdict = "verdict";
 constexpr const char* kStage = "stage";
+constexpr const char* kStable = "stable";  // absent from votes of earlier versions
 constexpr const char* kConfiguration = "configuration";
 constexpr const char* kRosterAddresses = messages::kFieldProxies;
 constexpr const char* kQuorumContact = "sure";
@@ -91,9 +92,15 @@
 }
 
 RolloutVote decodeVote(const Json& message) {
-    return {message.at(kService).get<std::string>(), message.at(kTarget).get<std::string>(),
-            message.at(kVoter).get<std::string>(),   static_cast<Verdict>(message.at(kVerdict).get<int>()),
-            message.at(kStage).get<int>(),           message};
+    RolloutVote vote;
+    message.at(kService).get_to(vote.service);
+    message.at(kTarget).get_to(vote.target);
+    message.at(kVoter).get_to(vote.voter);
+    vote.verdict = static_cast<Verdict>(message.at(kVerdict).get<int>());
+    message.at(kStage).get_to(vote.stage);
+    vote.stable = message.value(kStable, false);
+    vote.message = message;
+    return vote;
 }
 
 std::uint32_t decodeAcknowledgement(const Json& message) {
--- a/src/control_plane/rollout_controller.cpp
+++ b/src/control_plane/rollout_controller.cpp
@@ -122,15 +122,18 @@
     VoteTally tally;
     tally.counts.voters = voters.size();
     const auto votes = votes_.find(key);
-    if (votes == votes_.end()) return tally;
+    std::size_t heard = 0;
     for (const auto& voter : voters) {
-        const auto it = votes->second.find(voter);
-        if (it == votes->second.end() || now() - it->second.receivedAt > verdict::kVoteTtl) continue;
-        const auto& vote = it->second.vote;
+        if (votes == votes_.end() || !votes->second.contains(voter)) continue;
+        ++heard;
+        const auto& [vote, receivedAt] = votes->second.at(voter);
+        if (now() - receivedAt > verdict::kVoteTtl) continue;
         tally.counts.advance += vote.verdict == Verdict::advance && vote.stage == rollout.stage;
         tally.counts.rollBack += vote.verdict == Verdict::rollBack;
+        tally.counts.stable += vote.stable;
         tally.messages.push_back(vote.message);
     }
+    tally.counts.mostUnheard = heard <= voters.size() / 2;
     return tally;
 }
 
--- a/src/proxy/peer_messages.cpp
+++ b/src/proxy/peer_messages.cpp
@@ -38,17 +38,19 @@
 
 Json encode(const Vote& vote) {
     const auto& evaluation = vote.evaluation;
-    return {{"t", wire::kVote},
-            {"from", vote.from},
-            {"service", vote.service},
-            {"target", vote.target},
-            {"stage", vote.stage},
-            {"verdict", static_cast<int>(evaluation.verdict)},
-            {"fresh", evaluation.canaryOutcomes},
-            {"earlier", evaluation.stableOutcomes},
-            {"bad", evaluation.canaryFailures},
-            {"lower", evaluation.bounds.lowerChance},
-            {"upper", evaluation.bounds.upperChance}};
+    Json message{{"t", wire::kVote},
+                 {"from", vote.from},
+                 {"service", vote.service},
+                 {"target", vote.target},
+                 {"stage", vote.stage},
+                 {"verdict", static_cast<int>(evaluation.verdict)},
+                 {"fresh", evaluation.canaryOutcomes},
+                 {"earlier", evaluation.stableOutcomes},
+                 {"bad", evaluation.canaryFailures},
+                 {"lower", evaluation.bounds.lowerChance},
+                 {"upper", evaluation.bounds.upperChance}};
+    if (vote.stable) message["stable"] = true;
+    return message;
 }
 
 Json encode(const PeerLost& lost) { return {{"t", wire::kPeerLost}, {"name", lost.name}}; }
--- a/src/proxy/peer_messages.hpp
+++ b/src/proxy/peer_messages.hpp
@@ -69,6 +69,7 @@
 struct Vote {
     std::string from, service, target;
     int stage = 0;
+    bool stable = false;  ///< the target is in service already, so there is nothing to evaluate
     verdict::CanaryEvaluation evaluation;
 };
 Json encode(const Vote& vote);
--- a/src/proxy/rollout_voting.cpp
+++ b/src/proxy/rollout_voting.cpp
@@ -83,6 +83,7 @@
 }
 
 void RolloutVoting::evaluate(const messages::Rollout& rollout) {
+    if (!router_.ready()) return;  // without hosts it can't tell which versions are in service
     const auto voters = fleet_.votersOf(rollout);
     if (std::find(voters.begin(), voters.end(), settings_.name) == voters.end()) return;
     const auto key = keyOf(rollout);
@@ -90,8 +91,9 @@
     if (now() < next) return;
     next = now() + verdict::kEvaluationInterval;
     const auto evaluation = verdict::evaluateCanary(aggregators_[key].sum(), random_);
+    const bool stable = router_.isStable(rollout.service, rollout.target);
     connections_.sendToControlNodes(
-        encode(Vote{settings_.name, rollout.service, rollout.target, rollout.stage, evaluation}));
+        encode(Vote{settings_.name, rollout.service, rollout.target, rollout.stage, stable, evaluation}));
 }
 
 }  // namespace lichenlanding::proxy
--- a/src/routing/canary.cpp
+++ b/src/routing/canary.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 #include "hashing/rendezvous.hpp"
@@ -47,18 +46,15 @@
     return rollout.service + "\n" + rollout.target;
 }
 
-bool CanaryExposure::hasRollout(const std::string& service, const std::string& version) const {
-    return std::any_of(rollouts_.begin(), rollouts_.end(), [&](const auto& rollout) {
-        return rollout.service == service && rollout.target == version;
-    });
-}
-
 // ---- Rollouts and versions. ----
 
-void CanaryExposure::onHostAdded(const discovery::Endpoint& endpoint) {
-    auto& versions = stableVersions_[endpoint.service];
-    if (versions.empty() && !hasRollout(endpoint.service, endpoint.version))
-        versions.insert(endpoint.version);
+void CanaryExposure::onHostAdded(const std::string& service, const ServiceHosts& hosts) {
+    stableVersions_.onHostAdded(service, hosts, rollouts_);
+}
+
+void CanaryExposure::onHostsKnown(const HostsByService& hosts) {
+    hostsKnown_ = true;
+    if (known_) stableVersions_.settle(hosts, rollouts_);
 }
 
 void CanaryExposure::setRollouts(std::vector<messages::Rollout> rollouts, const HostsByService& hosts,
@@ -70,7 +66,6 @@
     for (const auto& rollout : rollouts_) newest[canaryKey(rollout)] = &rollout;
     std::erase_if(canaries_, [&](const auto& canary) { return !newest.contains(canary.first); });
     for (const auto& rollout : rollouts_) {
-        stableVersions_[rollout.service].erase(rollout.target);
         if (newest.at(canaryKey(rollout)) != &rollout) continue;
         const auto& canary = canaries_[canaryKey(rollout)];
         // Rolled out again after a rollback: the earlier counts don't apply to the new rollout.
@@ -81,7 +76,8 @@
         canary->stage = rollout.stage;
         canary->stageStarted = now;
     }
-    findStableVersions(hosts);
+    stableVersions_.onRolloutsChanged(hosts, rollouts_);
+    if (hostsKnown_) stableVersions_.settle(hosts, rollouts_);
 }
 
 // The limit allows a canary some requests beyond its share over the whole fleet. With little traffic the
@@ -97,34 +93,21 @@
     canaries_[canaryKey(rollout)] = std::move(canary);
 }
 
-void CanaryExposure::findStableVersions(const HostsByService& hosts) {
-    for (auto& [service, versions] : stableVersions_) {
-        if (!versions.empty()) continue;
-        const auto serviceHosts = hosts.find(service);
-        if (serviceHosts == hosts.end()) continue;
-        for (const auto& host : serviceHosts->second)
-            if (!hasRollout(service, host->endpoint.version)) versions.insert(host->endpoint.version);
-    }
-}
-
-// The role of a version with a rollout follows from the rollout's state. A version without one serves only if
-// it was listed first, and only until a completed rollout replaces it.
-VersionRole CanaryExposure::roleOf(const UpstreamHost& host) const {
-    const auto& [service, version] = std::tie(host.endpoint.service, host.endpoint.version);
-    const messages::Rollout* versionRollout = nullptr;
+// The target of the newest completed rollout serves, or without one the inferred versions. They are stable
+// also while a rollout of their own is running, and after it was rolled back: it was no trial of a new
+// version.
+VersionRole CanaryExposure::roleOf(const std::string& service, const std::string& version) const {
     const messages::Rollout* completed = nullptr;
+    bool running = false;
     for (const auto& rollout : rollouts_) {
         if (rollout.service != service) continue;
-        if (rollout.target == version) versionRollout = &rollout;
+        running = running || (rollout.target == version && rollout.running());
         if (rollout.state == "completed" && (!completed || rollout.number > completed->number))
             completed = &rollout;
     }
-    if (versionRollout && versionRollout->running()) return VersionRole::canary;
-    if (versionRollout) return versionRollout == completed ? VersionRole::stable : VersionRole::none;
-    if (completed) return VersionRole::none;
-    const auto stable = stableVersions_.find(service);
-    return stable != stableVersions_.end() && stable->second.contains(version) ? VersionRole::stable
-                                                                               : VersionRole::none;
+    const bool stable = completed ? completed->target == version : stableVersions_.contains(service, version);
+    if (stable) return VersionRole::stable;
+    return running ? VersionRole::canary : VersionRole::none;
 }
 
 // ---- Exposure. ----
@@ -218,8 +201,9 @@
                                    bool failed) {
     for (const auto& rollout : rollouts_) {
         if (rollout.service != host.endpoint.service || !rollout.running()) continue;
-        const bool isCanary = rollout.target == host.endpoint.version;
-        if (!isCanary && roleOf(host) != VersionRole::stable) continue;
+        const auto role = roleOf(host);
+        const bool isCanary = role == VersionRole::canary && rollout.target == host.endpoint.version;
+        if (!isCanary && role != VersionRole::stable) continue;
         auto& canary = canaryOf(rollout);
         canary.totals[route.name][isCanary ? 0 : 1].count(elapsed, route.targetLatency, failed);
         if (!isCanary) continue;
--- a/src/routing/canary.hpp
+++ b/src/routing/canary.hpp
@@ -7,19 +7,17 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "config/configuration.hpp"
 #include "messages/codec.hpp"
+#include "routing/stable_versions.hpp"
 #include "routing/upstream_host.hpp"
 #include "verdict/rollout.hpp"
 
 namespace lichenlanding::routing {
 
-using HostsByService = std::map<std::string, std::vector<std::shared_ptr<UpstreamHost>>>;
-
 /// What a host of this version may receive: nothing, ordinary requests, or a canary's share of them.
 enum class VersionRole { none, stable, canary };
 
@@ -41,12 +39,17 @@
                      std::size_t proxies, Nanos now, std::mt19937_64& random);
     const std::vector<messages::Rollout>& rollouts() const { return rollouts_; }
     bool known() const { return known_; }  ///< setRollouts() has been called
-    /// Called for each newly listed host. The first version listed for a service is stable without a rollout.
-    void onHostAdded(const discovery::Endpoint& endpoint);
+    /// Called after a host was added to `hosts`, which are all of its service.
+    void onHostAdded(const std::string& service, const ServiceHosts& hosts);
+    /// Called once the first complete list of hosts has been applied.
+    void onHostsKnown(const HostsByService& hosts);
     /// Offset to add to `now` for a time that is about the same at all proxies.
     void setSharedClockOffset(Nanos offset) { clockOffset_ = offset; }
 
-    VersionRole roleOf(const UpstreamHost& host) const;
+    VersionRole roleOf(const std::string& service, const std::string& version) const;
+    VersionRole roleOf(const UpstreamHost& host) const {
+        return roleOf(host.endpoint.service, host.endpoint.version);
+    }
     /// The canary that receives the next attempt of a request to `service`, if any; spends its credit.
     /// `candidates`: the canaries' hosts; `retry`: the request has already been sent to a host.
     std::optional<CanaryChoice> choose(const std::string& service, const Candidates& candidates, bool retry,
@@ -70,18 +73,16 @@
     static std::string canaryKey(const messages::Rollout& rollout);
     void startCanary(const messages::Rollout& rollout, bool observedFromStart, std::size_t proxies,
                      std::mt19937_64& random);
-    void findStableVersions(const HostsByService& hosts);
-    bool hasRollout(const std::string& service, const std::string& version) const;
     std::size_t focusSize(std::size_t hosts) const;
     bool isFullTrafficTrial(const messages::Rollout& rollout, const Canary& canary, Nanos now) const;
     bool takeCredit(Canary& canary, std::size_t hosts) const;
 
     double share_, slack_;
     bool known_ = false;
+    bool hostsKnown_ = false;
     std::vector<messages::Rollout> rollouts_;
     std::map<std::string, std::shared_ptr<Canary>> canaries_;  // by service and version
-    std::map<std::string, std::set<std::string>>
-        stableVersions_;  // by service: versions that serve without a rollout
+    StableVersions stableVersions_;
     Nanos clockOffset_ = 0;
     std::uint64_t failures_ = 0;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -68,7 +68,7 @@
         subsetsStale_ = true;
         known = hosts_.emplace(endpoint.id, host).first;
         hostsByService_[endpoint.service].push_back(host);
-        canaries_.onHostAdded(endpoint);
+        canaries_.onHostAdded(endpoint.service, hostsByService_[endpoint.service]);
     }
     known->second->endpoint.draining = endpoint.draining;
 }
@@ -77,6 +77,10 @@
     canaries_.setRollouts(std::move(rollouts), hostsByService_, retryBudget_.proxyCount(), now, random_);
 }
 
+void Router::setEndpointsKnown() {
+    if (!std::exchange(endpointsKnown_, true)) canaries_.onHostsKnown(hostsByService_);
+}
+
 // ---- Requests and their attempts. ----
 
 bool Router::startRequest(RoutedRequest& request, std::string_view host, std::string_view path, Nanos now,
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -51,7 +51,7 @@
     /// Offset to add to `now` for a time that is about the same at all proxies.
     void setSharedClockOffset(Nanos offset) { canaries_.setSharedClockOffset(offset); }
     /// Called once the first complete list of endpoints has been applied.
-    void setEndpointsKnown() { endpointsKnown_ = true; }
+    void setEndpointsKnown();
 
     /// Whether a configuration, rollouts and endpoints have been received, as attempts need all three.
     bool ready() const { return configuration_ && canaries_.known() && endpointsKnown_; }
@@ -79,6 +79,10 @@
     int maxConnections(const UpstreamHost& host) const;
     const std::map<std::string, std::shared_ptr<UpstreamHost>>& hosts() const { return hosts_; }  ///< by id
 
+    /// Whether the version serves ordinary requests of the service, with or without a rollout of its own.
+    bool isStable(const std::string& service, const std::string& version) const {
+        return canaries_.roleOf(service, version) == VersionRole::stable;
+    }
     /// The outcomes of a running rollout, for the voters.
     const verdict::Totals& totals(const std::string& service, const std::string& target) const;
     /// Failed attempts at canaries, over all rollouts.
--- a/src/verdict/stages.cpp
+++ b/src/verdict/stages.cpp
@@ -46,6 +46,8 @@
 std::optional<StageTransition> nextTransition(int stage, const VoteCounts& votes, std::int64_t elapsed,
                                               std::int64_t inStage, std::int64_t term) {
     const auto majority = votes.voters / 2 + 1;
+    if (votes.voters > 0 && votes.stable >= majority)
+        return StageTransition{true, false, "voters, the version is in service already"};
     if (votes.voters > 0 && votes.rollBack >= majority) return StageTransition{false, true, "voters"};
     const bool advance = votes.voters > 0 && votes.advance >= majority;
     if (stage == canary && advance &&
@@ -55,7 +57,8 @@
         return StageTransition{false, false, "voters, after the trial of all traffic"};
     if (stage == allTraffic && advance && inStage >= kMinAllTrafficMs)
         return StageTransition{true, false, "voters, with all traffic"};
-    if (elapsed >= term - kDecisionMarginMs) return StageTransition{false, true, "undecided at its term"};
+    if (elapsed >= term - kDecisionMarginMs && !votes.mostUnheard)
+        return StageTransition{false, true, "undecided at its term"};
     return std::nullopt;
 }
 
--- a/src/verdict/stages.hpp
+++ b/src/verdict/stages.hpp
@@ -30,6 +30,8 @@
     std::size_t voters = 0;    ///< number of voters, whether they have voted or not
     std::size_t advance = 0;   ///< votes to advance the current stage
     std::size_t rollBack = 0;  ///< votes to roll back, of any stage
+    std::size_t stable = 0;    ///< votes that the target is in service already, of any stage
+    bool mostUnheard = false;  ///< most voters have never voted on this rollout
 };
 
 /// The end of a stage: the rollout is completed, rolled back or, if neither, advances to the next stage.
@@ -39,7 +41,8 @@
 };
 
 /// The transition that is due now, if any. `elapsed`: time since the order; `inStage`: since the stage began;
-/// `term`: after which an undecided rollout is rolled back.
+/// `term`: after which an undecided rollout is rolled back, though not before most voters have been heard:
+/// only they know whether the target is in service already.
 std::optional<StageTransition> nextTransition(int stage, const VoteCounts& votes, std::int64_t elapsed,
                                               std::int64_t inStage, std::int64_t term);
 
--- a/tests/control_plane/link_messages.cpp
+++ b/tests/control_plane/link_messages.cpp
@@ -61,6 +61,10 @@
         const auto vote = decodeVote(message);
         CPPUNIT_ASSERT(vote.voter == "p1" && vote.service == "s" && vote.target == "v2");
         CPPUNIT_ASSERT(vote.verdict == Verdict::advance && vote.stage == 1 && vote.message == message);
+        CPPUNIT_ASSERT(!vote.stable);  // as of a proxy of an earlier version
+        auto stable = message;
+        stable["stable"] = true;
+        CPPUNIT_ASSERT(decodeVote(stable).stable);
     }
 
     void addsContactAndClock() {
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -7,6 +7,7 @@
     CPPUNIT_TEST_SUITE(ClusterTest);
     CPPUNIT_TEST(survivesLossOfMachines);
     CPPUNIT_TEST(restartsAllAtOnceWithItsState);
+    CPPUNIT_TEST(orderForTheVersionInServiceKeepsItServing);
     CPPUNIT_TEST(suspendedProxyNeverRevertsToAnOldConfiguration);
     CPPUNIT_TEST(leaseMovesWhenItsHolderDies);
     CPPUNIT_TEST(unconfirmedStateIsAcceptedAfterADelay);
@@ -83,6 +84,32 @@
         cluster.until("the proxy uses version 7", [&] { return get("/seven/1") == 200; });
     }
 
+    // Guards against RECOVER, review/1: an order for the version in service, never rolled out before, got its
+    // pods refused by all proxies, for good after the order's term.
+    void orderForTheVersionInServiceKeepsItServing() {
+        Cluster cluster;
+        open(cluster);
+        const std::string order = R"({"service_name":"s","target_version":"v1","deadline":"6s"})";
+        CPPUNIT_ASSERT_EQUAL(200, cluster.rpc("c1", "rollouts.begin", order).first);
+        const auto expectServed = [&](const char* proxy) {
+            for (int sent = 0; sent < 40; ++sent) CPPUNIT_ASSERT_EQUAL(200, cluster.get(proxy, "/r/1"));
+        };
+        expectServed("e1");
+        // All processes are killed and restart: the proxies know no more than the list and the order.
+        for (auto& [_, program] : cluster.programs) cluster.stop(program, SIGKILL);
+        for (const auto* name : {"c1", "c2", "c3", "e1", "e2"}) cluster.launch(name, false);
+        for (const auto* name : {"e1", "e2"}) cluster.await(name, "readiness_gained");
+        expectServed("e1");
+        std::string state;
+        cluster.until("the rollout has ended", [&] {
+            const auto read = cluster.rpc("c2", "rollouts.read&of=s");
+            state = read.second;
+            return read.first == 200 && state.find("in_progress") == std::string::npos;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed","target_version":"v1"})"), state);
+        for (const auto* name : {"e1", "e2"}) expectServed(name);
+    }
+
     // All processes are killed at once and restart from their disks: rollouts and configurations must still
     // be there. Afterwards one proxy drains and stops in the regular way, and a stopped store is inspected
     // offline.
--- a/tests/routing/router.cpp
+++ b/tests/routing/router.cpp
@@ -57,12 +57,27 @@
         if (end != AttemptEvent::unreached) attempt.apply(AttemptEvent::written);
         router->onAttemptEnded(request, attempt, end, status, took, now);
     }
-    void rollout(const std::string& state, int stage = 0, std::int64_t number = 1) {
+    void rollout(const std::string& state, int stage = 0, std::int64_t number = 1,
+                 const std::string& target = "v2") {
         messages::Rollout newRollout;
-        newRollout.service = "s", newRollout.target = "v2", newRollout.state = state,
+        newRollout.service = "s", newRollout.target = target, newRollout.state = state,
         newRollout.stage = stage, newRollout.number = number;
         router->setRollouts({newRollout}, now);
     }
+    // Sends requests that are answered at once. Returns the attempts of each version; "-": none was made.
+    std::string attemptsByVersion(int requests) {
+        std::map<std::string, int> counts;
+        for (int sent = 0; sent < requests; ++sent) {
+            auto request = begin("idempotent");
+            const auto pod = send(request);
+            ++counts[pod == "-" ? pod : last->host()->endpoint.version];
+            if (pod != "-") end(request, AttemptEvent::answered);
+        }
+        std::string text;
+        for (const auto& [version, count] : counts)
+            text += (text.empty() ? "" : " ") + version + " " + std::to_string(count);
+        return text;
+    }
     config::BootstrapSettings boot;
     std::unique_ptr<Router> router;
     std::shared_ptr<routing::Attempt> last;
@@ -84,6 +99,8 @@
     CPPUNIT_TEST(rolloutsOfOneServiceHaveSeparateShares);
     CPPUNIT_TEST(repeatedRolloutStartsAfresh);
     CPPUNIT_TEST(versionsByRolloutState);
+    CPPUNIT_TEST(versionInServiceServesUnderItsOwnRollout);
+    CPPUNIT_TEST(onlyListedVersionServesUnderItsOwnRollout);
     CPPUNIT_TEST(drainingHostsGetNothing);
     CPPUNIT_TEST(olderConfigurationIsIgnored);
     CPPUNIT_TEST(unresponsiveHostsGetNothing);
@@ -299,17 +316,7 @@
     void versionsByRolloutState() {
         std::string transcript;
         const auto recordVersions = [&](const std::string& what, RouterFixture& fixture) {
-            std::map<std::string, int> attemptsByVersion;
-            for (int at = 0; at < 200; ++at) {
-                auto request = fixture.begin(kIdempotent);
-                const auto sent = fixture.send(request);
-                ++attemptsByVersion[sent == "-" ? sent : fixture.last->host()->endpoint.version];
-                if (sent != "-") fixture.end(request, AttemptEvent::answered);
-            }
-            transcript += what + ":";
-            for (const auto& [version, count] : attemptsByVersion)
-                transcript += " " + version + " " + std::to_string(count);
-            transcript += "\n";
+            transcript += what + ": " + fixture.attemptsByVersion(200) + "\n";
         };
         RouterFixture fixture;
         fixture.list("n", "v2"), fixture.list("m", "v2");
@@ -339,6 +346,38 @@
         approve("router-versions", transcript);
     }
 
+    // Guards against RECOVER, review/1: an order for the version in service took its traffic away for good.
+    void versionInServiceServesUnderItsOwnRollout() {
+        RouterFixture fixture;
+        fixture.router->setEndpointsKnown();
+        fixture.router->setRollouts({}, fixture.now);
+        fixture.list("n", "v2");  // without a rollout: gets nothing, whatever happens to v1's
+        for (const auto* state : {"in_progress", "rolled_back"}) {
+            fixture.rollout(state, 0, 1, "v1");
+            fixture.now += 3 * kSecond;
+            CPPUNIT_ASSERT_EQUAL(std::string("v1 200"), fixture.attemptsByVersion(200));
+        }
+    }
+
+    // The same at a proxy that starts after the order, whose service has no other version; it stops when the
+    // version that served before is listed.
+    void onlyListedVersionServesUnderItsOwnRollout() {
+        for (const bool rolloutFirst : {true, false}) {
+            RouterFixture fixture(0);
+            if (rolloutFirst) fixture.rollout("in_progress");
+            fixture.list("n", "v2"), fixture.list("m", "v2");
+            if (!rolloutFirst) fixture.rollout("in_progress");
+            fixture.router->setEndpointsKnown();
+            fixture.now += 3 * kSecond;
+            CPPUNIT_ASSERT_EQUAL(std::string("v2 200"), fixture.attemptsByVersion(200));
+            fixture.list("p", "v1");
+            fixture.now += 3 * kSecond;
+            CPPUNIT_ASSERT_EQUAL(std::string("v1 191 v2 9"), fixture.attemptsByVersion(200));
+            fixture.rollout("rolled_back", 0, 2);
+            CPPUNIT_ASSERT_EQUAL(std::string("v1 200"), fixture.attemptsByVersion(200));
+        }
+    }
+
     // Guarantee DRAIN: no attempts at a pod that is draining, is removed, or whose address another pod has.
     void drainingHostsGetNothing() {
         RouterFixture fixture(1);
--- a/tests/verdict/rollout.cpp
+++ b/tests/verdict/rollout.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(duplicateTotalsCountOnce);
     CPPUNIT_TEST(evaluatesOutcomes);
     CPPUNIT_TEST(stagesByVotesAndTime);
+    CPPUNIT_TEST(versionInServiceIsCompletedNotRolledBack);
     CPPUNIT_TEST(lostVoterIsReplaced);
     CPPUNIT_TEST(outdatedListsRestoreNoEndpoints);
     CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,24 @@
         approve("verdict-stages", output);
     }
 
+    // Guards against RECOVER, review/1: an order for the version in service was rolled back at its term.
+    void versionInServiceIsCompletedNotRolledBack() {
+        for (int stage = 0; stage < 3; ++stage) {
+            verdict::VoteCounts votes{3, 0, 2};
+            votes.stable = 2;  // goes before the votes on its outcomes, which are compared with its own
+            const auto transition = verdict::nextTransition(stage, votes, 300, 300, 16'000);
+            CPPUNIT_ASSERT(transition && transition->completed && !transition->rolledBack);
+            votes = {3, 0, 0};
+            votes.stable = 1;
+            CPPUNIT_ASSERT(!verdict::nextTransition(stage, votes, 300, 300, 16'000));
+        }
+        // While no proxy can be asked, the term does not decide.
+        verdict::VoteCounts unheard{0, 0, 0};
+        unheard.mostUnheard = true;
+        CPPUNIT_ASSERT(!verdict::nextTransition(0, unheard, 60'000, 60'000, 16'000));
+        CPPUNIT_ASSERT(verdict::nextTransition(0, {3, 0, 0}, 60'000, 60'000, 16'000)->rolledBack);
+    }
+
     // If a voter is lost, the other voters stay the same and one more is chosen.
     void lostVoterIsReplaced() {
         std::vector<std::string> names;
