Log: rollout_requested tells a request that begins a rollout from its repeat

The outcome is now that of the value before the change; a change that runs again and finds its own earlier attempt keeps the first outcome. The response is still read off the value that the proposal ended with.

ClusterTest::restartsAllAtOnceWithItsState checks both outcomes.

--- a/src/control_plane/admin_api.cpp
+++ b/src/control_plane/admin_api.cpp
@@ -156,21 +156,28 @@
 }
 
 Task<AdminResponse> AdminApi::beginRollout(const std::string& body) {
+    using Outcome = admin::RolloutRequestOutcome;
     const auto decoded = decodeRolloutRequest(body);
     if (!decoded)
         co_return errorResponse(
             400, "body: must be JSON with service_name, target_version and deadline (such as \"12s\")");
     const auto& request = *decoded;
-    const consensus::Change change = keepingUnreadable(
-        [request](const std::string& current) { return admin::addRollout(current, request); });
+    // By the value before the change: afterwards a new rollout is known.
+    const auto outcomeBefore = std::make_shared<Outcome>(Outcome::known);
+    const consensus::Change change = keepingUnreadable([request, outcomeBefore](const std::string& current) {
+        const auto found = admin::classifyRequest(messages::decodeRollouts(current), request);
+        // A change that runs again finds the request known by its own earlier attempt.
+        if (found != Outcome::known) *outcomeBefore = found;
+        return admin::addRollout(current, request);
+    });
     const auto value = co_await register_.update(kRolloutsKey, change, kRegisterTimeout);
     if (!value) co_return retryLaterResponse("register: no majority has synced the update in time");
     const auto outcome = admin::classifyRequest(messages::decodeRollouts(*value), request);
     log("rollout_requested", {{"service", request.service},
                               {"target", request.target},
                               {"term_ms", request.timeLimitMs},
-                              {"outcome", admin::outcomeName(outcome)}});
-    if (outcome == admin::RolloutRequestOutcome::underWay) co_return rolloutConflictResponse(request);
+                              {"outcome", admin::outcomeName(*outcomeBefore)}});
+    if (outcome == Outcome::underWay) co_return rolloutConflictResponse(request);
     co_return jsonResponse(200, std::string("{}"));
 }
 
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -117,8 +117,14 @@
         Cluster cluster;
         open(cluster);
         const std::string rolloutRequest = R"({"service_name":"s","target_version":"v2","deadline":"60s"})";
-        for (const auto* name : {"c1", "c2"})
+        // The log tells the request that began the rollout from its repeat.
+        for (const auto& [name, outcome] :
+             std::vector<std::pair<std::string, std::string>>{{"c1", "begun"}, {"c2", "known"}}) {
             CPPUNIT_ASSERT_EQUAL(200, cluster.rpc(name, "rollouts.begin", rolloutRequest).first);
+            const auto lines = cluster.await(name, "rollout_requested");
+            const auto& logged = cluster.programs[name].lines[lines - 1];
+            CPPUNIT_ASSERT_EQUAL(outcome, logged.at("outcome").get<std::string>());
+        }
         CPPUNIT_ASSERT_EQUAL(400, cluster.rpc("c2", "rollouts.begin", R"({"service_name":"s"})").first);
         CPPUNIT_ASSERT_EQUAL(404, cluster.rpc("c2", "rollouts.read&of=other").first);
         // The rollout's age is stored as a duration while it grows, so a full restart doesn't reset it.
