Rollouts: the type and its look-ups in a module of their own

Need: the states of a rollout stood as literals in three places, the search for the rollout completed last in three, and the type in the codec of which it is no part.

Change: messages/rollout.hpp holds Rollout, the names of its states, its keys and lastCompleted(); the codec encodes it. No behaviour changes.

--- a/src/admin/rollout_requests.cpp
+++ b/src/admin/rollout_requests.cpp
@@ -1,20 +1,20 @@
 #include "admin/rollout_requests.hpp"
 
 #include <algorithm>
+#include <vector>
+
+#include "messages/codec.hpp"
 
 namespace lichenlanding::admin {
 namespace {
 
-constexpr const char* kCompletedState = "completed";
-
-std::int64_t nextNumber(const std::vector<messages::Rollout>& rollouts) {
+std::int64_t nextNumber(const messages::Rollouts& rollouts) {
     std::int64_t next = 1;
     for (const auto& one : rollouts) next = std::max(next, one.number + 1);
     return next;
 }
 
-std::int64_t nextGeneration(const std::vector<messages::Rollout>& rollouts,
-                            const messages::Rollout& request) {
+std::int64_t nextGeneration(const messages::Rollouts& rollouts, const messages::Rollout& request) {
     std::int64_t next = 0;
     for (const auto& one : rollouts)
         if (one.versionKey() == request.versionKey()) next = std::max(next, one.generation + 1);
@@ -22,7 +22,7 @@
 }
 
 // Removes and returns the running rollout that the request asks for, which must be there.
-messages::Rollout takeRunning(std::vector<messages::Rollout>& rollouts, const messages::Rollout& request) {
+messages::Rollout takeRunning(messages::Rollouts& rollouts, const messages::Rollout& request) {
     const auto running = std::find_if(rollouts.begin(), rollouts.end(), [&](const auto& one) {
         return one.running() && one.hasSameOrder(request);
     });
@@ -32,20 +32,16 @@
 }
 
 // Drops the oldest ended rollouts beyond kMaxEndedRollouts.
-void dropOldest(std::vector<messages::Rollout>& rollouts) {
+void dropOldest(messages::Rollouts& rollouts) {
     const auto needed = [&](const messages::Rollout& rollout) {
         if (rollout.running()) return true;
-        return rollout.state == kCompletedState &&
-               std::none_of(rollouts.begin(), rollouts.end(), [&](const auto& other) {
-                   return other.service == rollout.service && other.state == kCompletedState &&
-                          other.number > rollout.number;
-               });
+        return &rollout == messages::lastCompleted(rollouts, rollout.service);
     };
     std::vector<bool> keep(rollouts.size());
     std::size_t ended = 0;
     for (auto index = rollouts.size(); index-- > 0;)
         keep[index] = needed(rollouts[index]) || ++ended <= kMaxEndedRollouts;
-    std::vector<messages::Rollout> kept;
+    messages::Rollouts kept;
     for (std::size_t index = 0; index < rollouts.size(); ++index)
         if (keep[index]) kept.push_back(rollouts[index]);
     rollouts = std::move(kept);
@@ -69,29 +65,26 @@
     return "";
 }
 
-const messages::Rollout* newestRollout(const std::vector<messages::Rollout>& rollouts,
-                                       const std::string& service) {
+const messages::Rollout* newestRollout(const messages::Rollouts& rollouts, const std::string& service) {
     const auto newest = std::find_if(rollouts.rbegin(), rollouts.rend(),
                                      [&](const auto& rollout) { return rollout.service == service; });
     return newest == rollouts.rend() ? nullptr : &*newest;
 }
 
-RolloutRequestOutcome classifyRequest(const std::vector<messages::Rollout>& rollouts,
-                                      const messages::Rollout& request, const RepeatWindow& window) {
+RolloutRequestOutcome classifyRequest(const messages::Rollouts& rollouts, const messages::Rollout& request,
+                                      const RepeatWindow& window) {
     const messages::Rollout* running = nullptr;
-    const messages::Rollout* lastCompleted = nullptr;
     for (const auto& one : rollouts) {
         if (one.service != request.service) continue;
         if (one.hasSameOrder(request) && window.ageMs(one) <= window.lengthMs)
             return RolloutRequestOutcome::known;
         if (one.target == request.target && one.running()) running = &one;
-        if (one.state == kCompletedState && (!lastCompleted || one.number > lastCompleted->number))
-            lastCompleted = &one;
     }
     if (running)
         return running->hasSameOrder(request) ? RolloutRequestOutcome::running
                                               : RolloutRequestOutcome::underWay;
-    if (lastCompleted && lastCompleted->target == request.target) return RolloutRequestOutcome::inForce;
+    const auto* completed = messages::lastCompleted(rollouts, request.service);
+    if (completed && completed->target == request.target) return RolloutRequestOutcome::inForce;
     return RolloutRequestOutcome::begun;
 }
 
@@ -106,7 +99,7 @@
     auto added = request;
     if (outcome == RolloutRequestOutcome::running) added = takeRunning(rollouts, request);
     else added.generation = nextGeneration(rollouts, request);
-    if (outcome == RolloutRequestOutcome::inForce) added.state = kCompletedState;
+    if (outcome == RolloutRequestOutcome::inForce) added.state = messages::kRolloutCompleted;
     added.number = nextNumber(rollouts);
     rollouts.push_back(std::move(added));
     dropOldest(rollouts);
--- a/src/admin/rollout_requests.hpp
+++ b/src/admin/rollout_requests.hpp
@@ -7,9 +7,8 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <vector>
 
-#include "messages/codec.hpp"
+#include "messages/rollout.hpp"
 
 namespace lichenlanding::admin {
 
@@ -37,8 +36,8 @@
 /// A request is identified by service, target and term, within `window`. classifyRequest() on the value that
 /// results from a proposal with addRollout() gives the response to the request, where a new rollout is
 /// `known`.
-RolloutRequestOutcome classifyRequest(const std::vector<messages::Rollout>& rollouts,
-                                      const messages::Rollout& request, const RepeatWindow& window);
+RolloutRequestOutcome classifyRequest(const messages::Rollouts& rollouts, const messages::Rollout& request,
+                                      const RepeatWindow& window);
 
 /// The change to propose to the register: adds the rollout, or makes it the newest of its service, as the
 /// outcome of the request says. Throws nlohmann::json::exception on a malformed value.
@@ -47,7 +46,6 @@
 
 /// The newest rollout of a service, which rollouts.read returns; null if there is none. `rollouts` is in the
 /// order of start.
-const messages::Rollout* newestRollout(const std::vector<messages::Rollout>& rollouts,
-                                       const std::string& service);
+const messages::Rollout* newestRollout(const messages::Rollouts& rollouts, const std::string& service);
 
 }  // namespace lichenlanding::admin
--- a/src/control_plane/rollout_controller.cpp
+++ b/src/control_plane/rollout_controller.cpp
@@ -14,9 +14,6 @@
 // Upper bound of the age that a rollout loses when all control nodes restart.
 constexpr Nanos kWriteAgesInterval = kSecond;
 
-constexpr const char* kCompletedState = "completed";
-constexpr const char* kRolledBackState = "rolled_back";
-
 // The key of its age, on the wire too. Includes the deadline, because earlier versions tell rollouts of one
 // version by it.
 std::string ageKey(const messages::Rollout& rollout) {
@@ -26,8 +23,8 @@
 
 messages::Rollout afterTransition(messages::Rollout rollout, const verdict::StageTransition& transition,
                                   std::int64_t age) {
-    if (transition.completed) rollout.state = kCompletedState;
-    else if (transition.rolledBack) rollout.state = kRolledBackState;
+    if (transition.completed) rollout.state = messages::kRolloutCompleted;
+    else if (transition.rolledBack) rollout.state = messages::kRolloutRolledBack;
     else ++rollout.stage;
     rollout.ageMs = age;
     rollout.stageAgeMs = 0;
--- a/src/messages/codec.cpp
+++ b/src/messages/codec.cpp
@@ -103,7 +103,7 @@
     return totals;
 }
 
-std::string encode(const std::vector<Rollout>& rollouts) {
+std::string encode(const Rollouts& rollouts) {
     auto list = Json::array();
     for (const auto& rollout : rollouts) {
         Json json;
@@ -117,8 +117,8 @@
     return list.dump();
 }
 
-std::vector<Rollout> decodeRollouts(const std::string& text) {
-    std::vector<Rollout> rollouts;
+Rollouts decodeRollouts(const std::string& text) {
+    Rollouts rollouts;
     if (text.empty()) return rollouts;
     for (const auto& json : Json::parse(text)) {
         auto& rollout = rollouts.emplace_back();
@@ -133,11 +133,4 @@
     return rollouts;
 }
 
-std::string rolloutKey(const std::string& service, const std::string& target, std::int64_t generation) {
-    const auto versionKey = service + "\n" + target;
-    return generation == 0 ? versionKey : versionKey + "\n" + std::to_string(generation);
-}
-
-std::string Rollout::key() const { return rolloutKey(service, target, generation); }
-
 }  // namespace lichenlanding::messages
--- /dev/null
+++ b/src/messages/rollout.hpp
@@ -0,0 +1,50 @@
+/// A rollout, as the register records it and as proxies receive it, and look-ups in a list of them. Encoded
+/// by messages/codec.hpp.
+///
+/// Pure. Thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lichenlanding::messages {
+
+// The states of a rollout, in the register and in the responses of the admin API.
+inline constexpr const char* kRolloutInProgress = "in_progress";
+inline constexpr const char* kRolloutCompleted = "completed";
+inline constexpr const char* kRolloutRolledBack = "rolled_back";
+
+/// An operator's request to roll out a version of a service.
+struct Rollout {
+    std::string service, target, state = kRolloutInProgress;
+    // 0: a share of the traffic; 1: all traffic, as a short trial; 2: all traffic until the end.
+    int stage = 0;
+    std::int64_t number = 0;  // increases with each change of any rollout other than an update of its ages
+    std::int64_t timeLimitMs = 0;
+    // Milliseconds since the request and since the stage began, as of the last write. verdict::OrderAges adds
+    // the time since then.
+    std::int64_t ageMs = 0, stageAgeMs = 0;
+    // How many earlier rollouts of the same service and version are on record. Tells this one from those.
+    std::int64_t generation = 0;
+
+    bool running() const { return state == kRolloutInProgress; }
+    bool completed() const { return state == kRolloutCompleted; }
+    /// Service and version, for maps.
+    std::string versionKey() const { return service + "\n" + target; }
+    /// Identifies this rollout: the versionKey(), and the generation unless that is 0.
+    std::string key() const;
+    /// Whether `other` comes from an order with the same content, whenever that was given.
+    bool hasSameOrder(const Rollout& other) const {
+        return service == other.service && target == other.target && timeLimitMs == other.timeLimitMs;
+    }
+};
+using Rollouts = std::vector<Rollout>;
+
+/// The key() of a rollout with these fields.
+std::string rolloutKey(const std::string& service, const std::string& target, std::int64_t generation);
+
+/// The service's rollout that was completed last, whose target is in service since; null if there is none.
+const Rollout* lastCompleted(const Rollouts& rollouts, const std::string& service);
+
+}  // namespace lichenlanding::messages
--- a/src/proxy/control_plane_feed.cpp
+++ b/src/proxy/control_plane_feed.cpp
@@ -1,5 +1,6 @@
 #include "proxy/control_plane_feed.hpp"
 
+#include "messages/codec.hpp"
 #include "transport/compression.hpp"
 #include "transport/log.hpp"
 
--- a/src/routing/canary.cpp
+++ b/src/routing/canary.cpp
@@ -54,7 +54,7 @@
     if (known_) stableVersions_.settle(hosts, rollouts_);
 }
 
-void CanaryExposure::setRollouts(std::vector<messages::Rollout> rollouts, const HostsByService& hosts,
+void CanaryExposure::setRollouts(messages::Rollouts rollouts, const HostsByService& hosts,
                                  std::size_t proxies, Nanos now, std::mt19937_64& random) {
     // A rollout in the first list may have started, and used its slack, before this proxy started.
     const bool observedFromStart = std::exchange(known_, true);
@@ -95,16 +95,12 @@
 // also while a rollout of their own is running, and after it was rolled back: it was no trial of a new
 // version.
 VersionRole CanaryExposure::roleOf(const std::string& service, const std::string& version) const {
-    const messages::Rollout* completed = nullptr;
-    bool running = false;
-    for (const auto& rollout : rollouts_) {
-        if (rollout.service != service) continue;
-        running = running || (rollout.target == version && rollout.running());
-        if (rollout.state == "completed" && (!completed || rollout.number > completed->number))
-            completed = &rollout;
-    }
+    const auto* completed = messages::lastCompleted(rollouts_, service);
     const bool stable = completed ? completed->target == version : stableVersions_.contains(service, version);
     if (stable) return VersionRole::stable;
+    const bool running = std::any_of(rollouts_.begin(), rollouts_.end(), [&](const auto& rollout) {
+        return rollout.service == service && rollout.target == version && rollout.running();
+    });
     return running ? VersionRole::canary : VersionRole::none;
 }
 
--- a/src/routing/canary.hpp
+++ b/src/routing/canary.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "config/configuration.hpp"
-#include "messages/codec.hpp"
+#include "messages/rollout.hpp"
 #include "routing/stable_versions.hpp"
 #include "routing/upstream_host.hpp"
 #include "verdict/rollout.hpp"
@@ -35,9 +35,9 @@
 
     /// Replaces the rollouts. The slack of a starting rollout is divided among `proxies`, the fleet's
     /// proxies.
-    void setRollouts(std::vector<messages::Rollout> rollouts, const HostsByService& hosts,
-                     std::size_t proxies, Nanos now, std::mt19937_64& random);
-    const std::vector<messages::Rollout>& rollouts() const { return rollouts_; }
+    void setRollouts(messages::Rollouts rollouts, const HostsByService& hosts, std::size_t proxies, Nanos now,
+                     std::mt19937_64& random);
+    const messages::Rollouts& rollouts() const { return rollouts_; }
     bool known() const { return known_; }  ///< setRollouts() has been called
     /// Called after a host was added to `hosts`, which are all of its service.
     void onHostAdded(const std::string& service, const ServiceHosts& hosts);
@@ -79,7 +79,7 @@
     double share_, slack_;
     bool known_ = false;
     bool hostsKnown_ = false;
-    std::vector<messages::Rollout> rollouts_;
+    messages::Rollouts rollouts_;
     std::map<std::string, std::shared_ptr<Canary>> canaries_;  // by service and version
     StableVersions stableVersions_;
     Nanos clockOffset_ = 0;
--- a/src/routing/stable_versions.cpp
+++ b/src/routing/stable_versions.cpp
@@ -6,7 +6,7 @@
 namespace lichenlanding::routing {
 namespace {
 
-using Rollouts = StableVersions::Rollouts;
+using messages::Rollouts;
 
 bool hasRollout(const Rollouts& rollouts, const std::string& service, const std::string& version) {
     return std::any_of(rollouts.begin(), rollouts.end(), [&](const auto& rollout) {
--- a/src/routing/stable_versions.hpp
+++ b/src/routing/stable_versions.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "messages/codec.hpp"
+#include "messages/rollout.hpp"
 #include "routing/upstream_host.hpp"
 
 namespace lichenlanding::routing {
@@ -26,14 +26,13 @@
 /// 3. the only version listed, if its rollout is running: there is nothing else to protect.
 class StableVersions {
   public:
-    using Rollouts = std::vector<messages::Rollout>;
-
     /// Called after a host was added to `hosts`, which are all of its service.
-    void onHostAdded(const std::string& service, const ServiceHosts& hosts, const Rollouts& rollouts);
+    void onHostAdded(const std::string& service, const ServiceHosts& hosts,
+                     const messages::Rollouts& rollouts);
     /// Called after the rollouts have changed.
-    void onRolloutsChanged(const HostsByService& hosts, const Rollouts& rollouts);
+    void onRolloutsChanged(const HostsByService& hosts, const messages::Rollouts& rollouts);
     /// Settles what can be. Called while both the complete list of hosts and the rollouts are known.
-    void settle(const HostsByService& hosts, const Rollouts& rollouts);
+    void settle(const HostsByService& hosts, const messages::Rollouts& rollouts);
 
     bool contains(const std::string& service, const std::string& version) const;
 
@@ -45,7 +44,7 @@
     };
 
     static void infer(Inferred& inferred, const std::string& service, const ServiceHosts& hosts,
-                      const Rollouts& rollouts);
+                      const messages::Rollouts& rollouts);
 
     std::map<std::string, Inferred> services_;
 };
--- a/tests/admin/configuration_record.cpp
+++ b/tests/admin/configuration_record.cpp
@@ -9,10 +9,12 @@
 #include <random>
 #include <set>
 #include <unordered_set>
+#include <utility>
 
 #include "admin/rollout_requests.hpp"
 #include "config/configuration.hpp"
 #include "consensus/consensus.hpp"
+#include "messages/codec.hpp"
 #include "support/transcript.hpp"
 #include "transport/compression.hpp"
 
