Rollouts: votes of earlier proxies count for a rollout ordered again

Cause: seen in a trial of old proxies beside new control nodes. Votes go by generation since the change before; a proxy of the earlier text sends none, so of a version ordered again no voter was ever heard, and the order was not rolled back at its term (ClusterTest:: sameOrderBeginsAnewOnceItIsNoRepeat timed out).

Change: votes are kept by version again; one without a generation counts for whichever rollout of the version is running, one with another generation does not count. Votes on a version with no running rollout are dropped. A field in every vote was tried first and refused by PreviousVersionTest::proxyInteroperates, so a first rollout's messages stay those of the version before.

--- a/src/control_plane/link_messages.cpp
+++ b/src/control_plane/link_messages.cpp
@@ -100,7 +100,7 @@
     vote.verdict = static_cast<Verdict>(message.at(kVerdict).get<int>());
     message.at(kStage).get_to(vote.stage);
     vote.stable = message.value(kStable, false);
-    vote.generation = message.value(kGeneration, std::int64_t{0});
+    if (message.contains(kGeneration)) vote.generation = message.at(kGeneration).get<std::int64_t>();
     vote.message = message;
     return vote;
 }
--- a/src/control_plane/link_messages.hpp
+++ b/src/control_plane/link_messages.hpp
@@ -63,9 +63,10 @@
     std::string service, target, voter;
     Verdict verdict = Verdict::none;
     int stage = 0;
-    bool stable = false;          ///< the target is in service already
-    std::int64_t generation = 0;  ///< of the rollout
-    Json message;  ///< as received: `status` and the log show it, including the counts behind it
+    bool stable = false;  ///< the target is in service already
+    std::optional<std::int64_t>
+        generation;  ///< of the rollout; null: 0, or any from a proxy of an earlier version
+    Json message;    ///< as received: `status` and the log show it, including the counts behind it
 };
 RolloutVote decodeVote(const Json& message);
 
--- a/src/control_plane/rollout_controller.cpp
+++ b/src/control_plane/rollout_controller.cpp
@@ -68,7 +68,7 @@
     tracked_.clear();
     std::set<std::string> running;
     for (const auto& rollout : messages::decodeRollouts(replica_.known(kRolloutsKey).value)) {
-        if (rollout.running()) running.insert(rollout.key());
+        if (rollout.running()) running.insert(rollout.versionKey());
         if (!isTracked(rollout)) continue;
         tracked_.insert(ageKey(rollout));
         ages_.merge(ageKey(rollout), {rollout.ageMs, rollout.stage, rollout.stageAgeMs}, now());
@@ -89,7 +89,7 @@
 }
 
 void RolloutController::onVote(RolloutVote vote) {
-    auto& received = votes_[messages::rolloutKey(vote.service, vote.target, vote.generation)][vote.voter];
+    auto& received = votes_[messages::versionKey(vote.service, vote.target)][vote.voter];
     received = {std::move(vote), now()};
 }
 
@@ -117,12 +117,13 @@
     const auto voters = hashing::rendezvousSelect(proxyNames_(), rollout.versionKey(), verdict::kVoterCount);
     VoteTally tally;
     tally.counts.voters = voters.size();
-    const auto votes = votes_.find(rollout.key());
+    const auto votes = votes_.find(rollout.versionKey());
     std::size_t heard = 0;
     for (const auto& voter : voters) {
         if (votes == votes_.end() || !votes->second.contains(voter)) continue;
-        ++heard;
         const auto& [vote, receivedAt] = votes->second.at(voter);
+        if (vote.generation.value_or(rollout.generation) != rollout.generation) continue;
+        ++heard;
         if (now() - receivedAt > verdict::kVoteTtl) continue;
         tally.counts.advance += vote.verdict == Verdict::advance && vote.stage == rollout.stage;
         tally.counts.rollBack += vote.verdict == Verdict::rollBack;
--- a/src/control_plane/rollout_controller.hpp
+++ b/src/control_plane/rollout_controller.hpp
@@ -64,7 +64,7 @@
     const std::int64_t repeatWindowMs_;
     std::function<bool()> holdsLease_;
     std::function<std::vector<std::string>()> proxyNames_;
-    std::map<std::string, std::map<std::string, ReceivedVote>> votes_;  // by Rollout::key() and voter
+    std::map<std::string, std::map<std::string, ReceivedVote>> votes_;  // by version and voter
     verdict::OrderAges ages_;
     std::set<std::string> tracked_;  // the keys in `ages_`
     Nanos agesWrittenAt_ = 0;
--- a/src/messages/rollout.cpp
+++ b/src/messages/rollout.cpp
@@ -2,12 +2,15 @@
 
 namespace lichenlanding::messages {
 
-std::string rolloutKey(const std::string& service, const std::string& target, std::int64_t generation) {
-    const auto versionKey = service + "\n" + target;
-    return generation == 0 ? versionKey : versionKey + "\n" + std::to_string(generation);
+std::string versionKey(const std::string& service, const std::string& version) {
+    return service + "\n" + version;
 }
 
-std::string Rollout::key() const { return rolloutKey(service, target, generation); }
+std::string Rollout::versionKey() const { return messages::versionKey(service, target); }
+
+std::string Rollout::key() const {
+    return generation == 0 ? versionKey() : versionKey() + "\n" + std::to_string(generation);
+}
 
 const Rollout* lastCompleted(const Rollouts& rollouts, const std::string& service) {
     const Rollout* last = nullptr;
--- a/src/messages/rollout.hpp
+++ b/src/messages/rollout.hpp
@@ -31,7 +31,7 @@
     bool running() const { return state == kRolloutInProgress; }
     bool completed() const { return state == kRolloutCompleted; }
     /// Service and version, for maps.
-    std::string versionKey() const { return service + "\n" + target; }
+    std::string versionKey() const;
     /// Identifies this rollout: the versionKey(), and the generation unless that is 0.
     std::string key() const;
     /// Whether `other` comes from an order with the same content, whenever that was given.
@@ -41,8 +41,8 @@
 };
 using Rollouts = std::vector<Rollout>;
 
-/// The key() of a rollout with these fields.
-std::string rolloutKey(const std::string& service, const std::string& target, std::int64_t generation);
+/// The versionKey() of rollouts to the version.
+std::string versionKey(const std::string& service, const std::string& version);
 
 /// The service's rollout that was completed last, whose target is in service since; null if there is none.
 const Rollout* lastCompleted(const Rollouts& rollouts, const std::string& service);
--- a/src/routing/canary.cpp
+++ b/src/routing/canary.cpp
@@ -188,7 +188,7 @@
     for (const auto& rollout : rollouts_)
         if (rollout.service == service && rollout.running()) ++canaryOf(rollout).serviceSent;
     if (roleOf(host) == VersionRole::canary)
-        ++canaries_[host.endpoint.service + "\n" + host.endpoint.version]->sent;
+        ++canaries_[messages::versionKey(host.endpoint.service, host.endpoint.version)]->sent;
 }
 
 void CanaryExposure::recordOutcome(const UpstreamHost& host, const config::Route& route, Nanos elapsed,
@@ -210,7 +210,7 @@
 
 const verdict::Totals& CanaryExposure::totals(const std::string& service, const std::string& version) const {
     static const verdict::Totals kNone;
-    const auto found = canaries_.find(service + "\n" + version);
+    const auto found = canaries_.find(messages::versionKey(service, version));
     return found == canaries_.end() ? kNone : found->second->totals;
 }
 
