--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -72,37 +72,49 @@
         return ip(name) + ":" + std::to_string(port);
     }
 
-    // Writes the settings of the program `name`, creates its disk folder and starts it.
-    void launch(const std::string& name, bool bootstrap = true) {
+    // The settings of the program `name`; creates its disk folder.
+    Json settings(const std::string& name, bool bootstrap = true) const {
         const bool controlNode = name[0] == 'c';
-        const auto disk = folder + "/" + name;
+        const auto disk = diskOf(name);
         std::filesystem::create_directories(disk);
-        Json settings{{"node_name", name},
-                      {"ip_address", ip(name)},
-                      {"zone", "z"},
-                      {"internal_ports", {internal, internal}},
-                      {"seed_nodes", {at("c1", control), at("c2", control), at("c3", control)}},
-                      {"bootstrap", bootstrap},
-                      {"quorum_member", controlNode},
-                      {"data_dir", disk},
-                      {"limits", {{"disk_mb", 64}}},
-                      {"fault_tolerance", {{"machines", 1}}},
-                      {"bounds", {"grace=" + grace, "ack=" + ack}},
-                      {"cloud_api",
-                       {{"address", "127.0.0.1:" + std::to_string(platform->local_endpoint().port())},
-                        {"rate_per_s", 40.0}}},
-                      {"listen_addresses",
-                       {{"front_http", at(name, front)},
-                        {"readiness", at(name, probe)},
-                        {"control_plane", at(name, control)}}}};
-        const auto file = disk + ".json";
-        std::ofstream(file) << settings;
-        spawn(programs[name], {controlNode ? "control-plane" : "proxy"}, "LICHENLANDING_SETTINGS=" + file);
+        return {{"node_name", name},
+                {"ip_address", ip(name)},
+                {"zone", "z"},
+                {"internal_ports", {internal, internal}},
+                {"seed_nodes", {at("c1", control), at("c2", control), at("c3", control)}},
+                {"bootstrap", bootstrap},
+                {"quorum_member", controlNode},
+                {"data_dir", disk},
+                {"limits", {{"disk_mb", 64}}},
+                {"fault_tolerance", {{"machines", 1}}},
+                {"bounds", {"grace=" + grace, "ack=" + ack}},
+                {"cloud_api",
+                 {{"address", "127.0.0.1:" + std::to_string(platform->local_endpoint().port())},
+                  {"rate_per_s", 40.0}}},
+                {"listen_addresses",
+                 {{"front_http", at(name, front)},
+                  {"readiness", at(name, probe)},
+                  {"control_plane", at(name, control)}}}};
+    }
+    std::string diskOf(const std::string& name) const { return folder + "/" + name; }
+    std::string settingsFileOf(const std::string& name) const { return diskOf(name) + ".json"; }
+    // Writes the settings of the program `name`, creates its disk folder and starts it.
+    void launch(const std::string& name, bool bootstrap = true) {
+        std::ofstream(settingsFileOf(name)) << settings(name, bootstrap);
+        start(name);
+    }
+    // Starts the program `name` with the settings file as it is.
+    void start(const std::string& name) {
+        spawn(programs[name], {name[0] == 'c' ? "control-plane" : "proxy"},
+              "LICHENLANDING_SETTINGS=" + settingsFileOf(name));
     }
-    // Starts the gateway binary with `words` as arguments and `variable` as its whole environment.
-    void spawn(Program& program, std::vector<std::string> words, const std::string& variable) {
+    // Starts the gateway binary with `words` as arguments and `variable` as its whole environment. Its output
+    // goes to a pipe; `prepareOutput` may change the writing end first.
+    void spawn(Program& program, std::vector<std::string> words, const std::string& variable,
+               const std::function<void(int)>& prepareOutput = {}) {
         int ends[2];
         CPPUNIT_ASSERT(pipe(ends) == 0);
+        if (prepareOutput) prepareOutput(ends[1]);
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_adddup2(&actions, ends[1], 2);
