Listening: an address that is not available yet is awaited

What callers saw: a process whose address another one still held (the one before, draining) or whose interface was not up yet ended at once with 1, and the line didn't say which address. Cause: bind was tried once, in the constructor of the program. Change: each socket is opened in the background; while the address is in use or missing, or descriptors or memory are short, listen_failed names the address and bind is tried again every 100 ms. A proxy is not ready before its clients' address is open. Other errors end the program as before.

--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -15,6 +15,7 @@
 #include "control_plane/replica_node.hpp"
 #include "control_plane/rollout_controller.hpp"
 #include "subscription/configuration_cache.hpp"
+#include "transport/listener.hpp"
 #include "transport/log.hpp"
 #include "transport/process_signals.hpp"
 
@@ -91,8 +92,8 @@
       replica_(io_, boot_,
                {[this](const std::string& key) { onValueLearned(key); }, [this] { onMembershipChanged(); }},
                ReplicaNode::onDisk(boot_)),
-      adminAcceptor_(listen(io_, boot_.controlPlaneAddress)),
-      peerAcceptor_(listen(io_, address())),
+      adminAcceptor_(io_),
+      peerAcceptor_(io_),
       connectionCallbacks_(makeConnectionCallbacks()),
       peers_(io_, address(), connectionCallbacks_),
       proxies_(io_),
@@ -296,8 +297,11 @@
 }
 
 void ControlPlane::startTasks() {
-    spawn(io_, "peer_connections", servePeerConnections(io_, peerAcceptor_, connectionCallbacks_));
-    spawn(io_, "admin_server", adminServer_.serve(adminAcceptor_));
+    serveWhenAvailable(io_, peerAcceptor_, address(), "peer_connections", [this](tcp::acceptor& acceptor) {
+        return servePeerConnections(io_, acceptor, connectionCallbacks_);
+    });
+    serveWhenAvailable(io_, adminAcceptor_, boot_.controlPlaneAddress, "admin_server",
+                       [this](tcp::acceptor& acceptor) { return adminServer_.serve(acceptor); });
     spawn(io_, "replica", replica_.run());
     spawn(io_, "read_rollouts", readRolloutsFirst());
     spawn(io_, "state_reports", sendStateReports());
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -9,6 +9,7 @@
 #include "proxy/peer_connections.hpp"
 #include "proxy/readiness_server.hpp"
 #include "proxy/rollout_voting.hpp"
+#include "transport/listener.hpp"
 #include "transport/log.hpp"
 #include "transport/process_signals.hpp"
 
@@ -42,9 +43,9 @@
           router_(settings_, seed_),
           upstream_(io_),
           httpServer_(io_, router_, upstream_, [this] { return isStateFresh(); }),
-          clientAcceptor_(listen(io_, settings_.httpAddress)),
-          readinessAcceptor_(listen(io_, settings_.readinessAddress)),
-          peerAcceptor_(listen(io_, settings_.peerAddress(settings_.ip))),
+          clientAcceptor_(io_),
+          readinessAcceptor_(io_),
+          peerAcceptor_(io_),
           fleet_(settings_),
           connections_(io_, settings_, incarnation_,
                        {[this](PeerConnection& from, const Json& message) { onMessage(from, message); },
@@ -64,15 +65,24 @@
             io_, [this] { startDrain(); }, [this] { reload(); });
         log("proxy_started", {{"seed", seed_}, {"life", incarnation_}});
         connections_.dialSeeds();
-        spawn(io_, "peer_connections", connections_.serve(peerAcceptor_));
-        spawn(io_, "clients", httpServer_.serve(clientAcceptor_));
-        spawn(io_, "readiness", serveReadiness(io_, readinessAcceptor_, [this] { return ready(); }));
+        startServers();
         spawn(io_, "housekeeping", housekeeping());
         spawn(io_, "peer_watch", watchPeers());
         io_.run();
     }
 
   private:
+    void startServers() {
+        serveWhenAvailable(io_, peerAcceptor_, settings_.peerAddress(settings_.ip), "peer_connections",
+                           [this](tcp::acceptor& acceptor) { return connections_.serve(acceptor); });
+        serveWhenAvailable(io_, clientAcceptor_, settings_.httpAddress, "clients",
+                           [this](tcp::acceptor& acceptor) { return httpServer_.serve(acceptor); });
+        serveWhenAvailable(io_, readinessAcceptor_, settings_.readinessAddress, "readiness",
+                           [this](tcp::acceptor& acceptor) {
+                               return serveReadiness(io_, acceptor, [this] { return ready(); });
+                           });
+    }
+
     // ---- Peers. ----
 
     void onMessage(PeerConnection& from, const Json& message) {
@@ -129,7 +139,7 @@
 
     // ---- Readiness, timeouts, standstills. ----
 
-    bool ready() const { return !stopping_ && router_.ready(); }
+    bool ready() const { return !stopping_ && clientAcceptor_.is_open() && router_.ready(); }
     // After a standstill the routing state may be out of date: requests wait briefly for an update from a
     // control node.
     bool isStateFresh() const {
--- a/tests/integration/process_lifetime.cpp
+++ b/tests/integration/process_lifetime.cpp
@@ -121,7 +121,9 @@
     static void awaitIdentity(Cluster& cluster, const std::string& name) {
         cluster.until("the disk has its identity", [&] {
             handleEvents(cluster);
-            return std::filesystem::file_size(storeFileOf(cluster, name)) > kMetaPages;
+            struct stat file {};
+            CPPUNIT_ASSERT_EQUAL(0, stat(storeFileOf(cluster, name).c_str(), &file));
+            return static_cast<std::uintmax_t>(file.st_blocks) * S_BLKSIZE > kMetaPages;
         });
     }
 
