--- a/src/command/gateway.cpp
+++ b/src/command/gateway.cpp
@@ -12,8 +12,6 @@
 
 #include "command/status.hpp"
 #include "config/configuration.hpp"
-#include "control_plane/control_plane.hpp"
-#include "proxy/proxy.hpp"
 #include "transport/process_signals.hpp"
 
 namespace {
@@ -36,23 +34,6 @@
     return bytes.str();
 }
 
-void addProxy(CLI::App& app, Action& action) {
-    auto* proxy =
-        app.add_subcommand("proxy", "data plane: routes clients' requests to pods (on edge machines)");
-    proxy->callback([&action] { action = [] { proxy::run(config::BootstrapSettings::fromEnvironment()); }; });
-}
-
-void addControlPlane(CLI::App& app, Action& action) {
-    const auto metrics = std::make_shared<bool>(false);
-    auto* controlPlane = app.add_subcommand(
-        "control-plane",
-        "control plane: replicates configurations and rollouts, discovers endpoints (on core machines)");
-    controlPlane->add_flag("--metrics", *metrics, "answer GET /metrics on the control address");
-    controlPlane->callback([=, &action] {
-        action = [=] { control_plane::run(config::BootstrapSettings::fromEnvironment(), *metrics); };
-    });
-}
-
 void addConfig(CLI::App& app, Action& action) {
     const auto file = std::make_shared<std::string>();
     auto* configurations = app.add_subcommand("config", "tools for configuration files");
@@ -105,12 +86,6 @@
     });
 }
 
-/// Prepares the process for running unattended.
-void prepareServer() {
-    transport::openStandardStreams();
-    transport::ignoreWriteSignals();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -122,8 +97,8 @@
     app.require_subcommand(1);
     app.name("lichenlanding-gateway");
     Action action;
-    addProxy(app, action);
-    addControlPlane(app, action);
+    command::addProxy(app, action);
+    command::addControlPlane(app, action);
     addConfig(app, action);
     addExplain(app, action);
     command::addStore(app, action);
@@ -136,9 +111,7 @@
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? kSuccess : kUsageError;
     }
-    const bool isServer = app.got_subcommand("proxy") || app.got_subcommand("control-plane");
-    if (isServer) prepareServer();
-    else transport::unblockSignals();
+    if (!command::isServer(app)) transport::unblockSignals();
     try {
         action();
     } catch (const config::ValidationError& rejection) {
--- a/src/config/bootstrap_settings.cpp
+++ b/src/config/bootstrap_settings.cpp
@@ -24,6 +24,10 @@
     return ParseError("settings: " + what, "read settings", field, "parse");
 }
 
+IncompleteSettingsError incompleteSettings(const std::string& what, const std::string& subject) {
+    return {"settings: " + what, "read settings", subject, "parse"};
+}
+
 // Parses a bound of the form `name=value`. Unknown names are ignored: they belong to other programs.
 void parseBound(BootstrapSettings& settings, std::string_view text) {
     const auto equals = text.find('=');
@@ -72,6 +76,7 @@
 BootstrapSettings BootstrapSettings::parse(std::string_view bytes) {
     BootstrapSettings settings;
     const auto json = Json::parse(bytes, nullptr, false);
+    if (json.is_discarded()) throw incompleteSettings("not a JSON object", "");
     if (!json.is_object()) throw settingError("not a JSON object", "");
     const auto read = [&]<typename T>(T& value, const char* pointer, bool required) {
         const Json::json_pointer jsonPointer(pointer);
@@ -98,7 +103,7 @@
     if (!path) throw settingError("LICHENLANDING_SETTINGS is not set", "LICHENLANDING_SETTINGS");
     std::ifstream file(path, std::ios::binary);
     std::stringstream bytes;
-    if (!file || !(bytes << file.rdbuf())) throw settingError(std::string("cannot read ") + path, path);
+    if (!file || !(bytes << file.rdbuf())) throw incompleteSettings(std::string("cannot read ") + path, path);
     return parse(bytes.str());
 }
 
--- a/src/config/bootstrap_settings.hpp
+++ b/src/config/bootstrap_settings.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "errors.hpp"
 #include "state.hpp"
 
 // X(member, type, JSON pointer in the file, required)
@@ -52,6 +53,11 @@
 
 namespace lichenlanding::config {
 
+/// The settings file cannot be read or is not a whole JSON document, possibly because it is being written.
+struct IncompleteSettingsError : ParseError {
+    using ParseError::ParseError;
+};
+
 /// The settings as configured. Durations are in nanoseconds; ratios and rates per second are doubles.
 struct BootstrapSettings {
 #define X(member, type, pointer, required) type member{};
@@ -69,9 +75,10 @@
     /// The address for peer connections to the process on the machine with this IP: its first internal port.
     std::string peerAddress(const std::string& ip) const;
 
-    /// Parses the content of a settings file. Throws ParseError with the field as its subject.
+    /// Parses the content of a settings file. Throws ParseError with the field as its subject, and
+    /// IncompleteSettingsError.
     static BootstrapSettings parse(std::string_view bytes);
-    /// Parses the file named by LICHENLANDING_SETTINGS. Throws ParseError.
+    /// Parses the file named by LICHENLANDING_SETTINGS. Throws like parse().
     static BootstrapSettings fromEnvironment();
 };
 
