Store: what the machine refuses is no corruption, and a lost end no SIGBUS

What callers saw: a control plane that couldn't open its store for want of descriptors, memory or room deleted the store, whole as it was, and ended with 1; after three such disks everything acknowledged would be gone. A store that had lost its end killed the program by SIGBUS at each start. Cause: one error type for both; the answer to corruption needs the very resource that is short. And the file is read through a mapping, where a read beyond its end is a signal. Change: CorruptStoreError is for LMDB's codes of an unusable file and for records; only it replaces the store. Anything else is logged as store_open_failed, keeps the store and is tried again every 200 ms, with nothing served, as if the machine were down. An opened file is extended (sparsely) to the pages that it states, a record longer than the file is corrupt.

--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -25,6 +25,7 @@
 using namespace transport;
 
 constexpr Nanos kReportInterval = 500 * kMillisecond;
+constexpr Nanos kStoreRetryInterval = 200 * kMillisecond;
 constexpr Nanos kReachabilityCheckInterval = 100 * kMillisecond;
 
 std::uint64_t randomIncarnation() {
@@ -64,6 +65,8 @@
     Task<> sendStateReports();
 
     StatusReport status() const;
+    Task<> start();
+    bool openReplica();
     void startTasks();
     void shutDown();
     Task<> stepDownAndStop();
@@ -84,6 +87,7 @@
     AdminApi adminApi_;
     AdminServer adminServer_;
     bool rolloutsRead_ = false;  // from a majority, since the start
+    bool replicaOpen_ = false;
     bool stopping_ = false;
 };
 
@@ -289,11 +293,27 @@
     const SignalHandler signals(
         io_, [this] { shutDown(); }, [this] { reloadSettings(); });
     log("control_plane_started", {});
-    replica_.open();
+    spawn(io_, "start", start());
+    io_.run();
+}
+
+Task<> ControlPlane::start() {
+    while (!openReplica()) co_await sleep(kStoreRetryInterval);
     dialSeeds();
     dialMembers();
     startTasks();
-    io_.run();
+}
+
+/// Returns false if the machine refuses to open the store, for example because its disk is full or not there
+/// yet. Nothing is served until it is open, as if the machine were down.
+bool ControlPlane::openReplica() {
+    try {
+        replica_.open();
+        replicaOpen_ = true;
+    } catch (const std::exception& error) {
+        log("store_open_failed", {{"step", "open"}, {"error", error.what()}});
+    }
+    return replicaOpen_;
 }
 
 void ControlPlane::startTasks() {
@@ -316,7 +336,7 @@
 }
 
 Task<> ControlPlane::stepDownAndStop() {
-    co_await replica_.stepDown();
+    if (replicaOpen_) co_await replica_.stepDown();
     log("control_plane_stopped", {});
     io_.stop();
 }
--- a/src/control_plane/replica_node.hpp
+++ b/src/control_plane/replica_node.hpp
@@ -45,8 +45,8 @@
     /// Opens a store in the setting `data_dir`.
     static Opener onDisk(const config::BootstrapSettings& boot) { return ReplicaStorage::onDisk(boot); }
 
-    /// Opens the store and restores the state from it. Call before run(). Throws StorageError if no store can
-    /// be opened.
+    /// Opens the store and restores the state from it. Call before run(). Throws StorageError or another
+    /// std::exception if the store cannot be opened; may be called again then.
     void open();
     /// Handles a message from a connected replica. Returns false if it is not a message between replicas.
     /// Throws nlohmann::json::exception if a field is missing or has the wrong type.
--- a/src/control_plane/replica_storage.cpp
+++ b/src/control_plane/replica_storage.cpp
@@ -39,13 +39,14 @@
 // ---- Disk identity. ----
 
 void ReplicaStorage::load() {
+    store_.reset();  // of an earlier attempt
     consensus::RegisterStates states;
     Notes notes;
     try {
         store_ = opener_(false);
         states = store_->states();
         for (const auto& name : kStoredNotes) notes[name] = store_->note(name);
-    } catch (const storage::StorageError& error) {
+    } catch (const storage::CorruptStoreError& error) {
         log("store_corrupt", {{"step", "open"}, {"error", error.what()}});
         store_.reset();
         store_ = opener_(true);
--- a/src/control_plane/replica_storage.hpp
+++ b/src/control_plane/replica_storage.hpp
@@ -24,8 +24,8 @@
 
 class ReplicaStorage {
   public:
-    /// Opens the store. With `replace`, an existing store is damaged and is deleted first. Throws
-    /// StorageError. Called on the event loop's thread and on the disk thread.
+    /// Opens the store. With `replace`, an existing store is corrupt and is deleted first. Throws
+    /// StorageError or another std::exception. Called on the event loop's thread and on the disk thread.
     using Opener = std::function<std::unique_ptr<storage::ReplicaStore>(bool replace)>;
     using ReplyHandler = std::function<void(const consensus::Reply&)>;
 
@@ -47,8 +47,8 @@
     /// Opens a store in the setting `data_dir`.
     static Opener onDisk(const config::BootstrapSettings& boot);
 
-    /// Reads the store into the acceptor. A damaged store is replaced by an empty one; nothing is recovered
-    /// from it.
+    /// Reads the store into the acceptor. A corrupt store is replaced by an empty one; nothing is recovered
+    /// from it. Throws what Opener throws; the store is kept then, and load() may be called again.
     void load();
     /// Starts to answer requests; on a new disk, once its id is synced.
     void activate();
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <lmdb.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <boost/crc.hpp>
@@ -18,12 +19,29 @@
 
 // Stored on the disks of running clusters (docs/design/storage-format.md).
 constexpr char kFormat = 1;
+constexpr off_t kMaxEntryOffset = 64 << 10;  // LMDB's offsets within a page have 16 bits
 constexpr char kStatePrefix = 'c', kNotePrefix = 'n';
 
+// LMDB's codes for a file that it cannot use. Its other codes, and the values of errno, leave the file
+// intact.
+bool isCorruption(int code) {
+    switch (code) {
+        case MDB_CORRUPTED:
+        case MDB_PAGE_NOTFOUND:
+        case MDB_INVALID:
+        case MDB_VERSION_MISMATCH:
+        case MDB_INCOMPATIBLE:
+            return true;
+        default:
+            return false;
+    }
+}
+
 void check(int code, const char* step, const std::string& folder) {
-    if (code != 0)
-        throw StorageError(kErrorPrefix + (" " + folder) + ": " + step + ": " + mdb_strerror(code), folder,
-                           step);
+    if (code == 0) return;
+    const auto what = kErrorPrefix + (" " + folder) + ": " + step + ": " + mdb_strerror(code);
+    if (isCorruption(code)) throw CorruptStoreError(what, folder, step);
+    throw StorageError(what, folder, step);
 }
 
 // A directory entry survives a power loss only after the directory is synced, even if the file is.
@@ -50,7 +68,7 @@
 T consume(std::string_view& bytes) {
     T number{};
     if (bytes.size() < sizeof number)
-        throw StorageError(kErrorPrefix + ": record is truncated", "record", "read");
+        throw CorruptStoreError(kErrorPrefix + ": record is truncated", "record", "read");
     std::memcpy(&number, bytes.data(), sizeof number);
     bytes.remove_prefix(sizeof number);
     return number;
@@ -64,11 +82,11 @@
 
 std::string_view verified(std::string_view bytes, const std::string& key) {
     if (bytes.size() < 5 || bytes.front() != kFormat)
-        throw StorageError(kErrorPrefix + ": record " + key + " has an unknown format", key, "read");
+        throw CorruptStoreError(kErrorPrefix + ": record " + key + " has an unknown format", key, "read");
     auto sum = bytes.substr(bytes.size() - 4);
     bytes.remove_suffix(4);
     if (consume<std::uint32_t>(sum) != checksum(bytes))
-        throw StorageError(kErrorPrefix + ": record " + key + " fails its checksum", key, "read");
+        throw CorruptStoreError(kErrorPrefix + ": record " + key + " fails its checksum", key, "read");
     return bytes.substr(1);
 }
 
@@ -121,6 +139,7 @@
             Transaction transaction(*this, 0);
             check(mdb_dbi_open(transaction.txn, nullptr, 0, &dbi), "open table", folder);
             check(transaction.commit(), "commit", folder);
+            extendFile(maxBytes);
             syncFolder(folder);
             syncFolder(std::filesystem::absolute(folder).parent_path().string());
         } catch (...) {
@@ -132,6 +151,35 @@
         if (env) mdb_env_close(env);
     }
 
+    // LMDB reads the file through a mapping, where a read beyond the end of the file raises SIGBUS. Extends a
+    // file that has lost its end, and by the distance at which a damaged page may place its entries. The
+    // extension takes no space on disk.
+    void extendFile(std::size_t maxBytes) const {
+        MDB_envinfo info;
+        MDB_stat stat;
+        check(mdb_env_info(env, &info), "info", folder);
+        check(mdb_env_stat(env, &stat), "stat", folder);
+        const std::size_t pages = info.me_last_pgno + 1;
+        if (pages > maxBytes / stat.ms_psize) check(MDB_CORRUPTED, "size", folder);
+        const auto used = static_cast<off_t>(pages * stat.ms_psize);
+        const auto size = fileSize();
+        if (size >= used + kMaxEntryOffset) return;
+        if (ftruncate(descriptor(), used + kMaxEntryOffset) != 0 && size < used)
+            check(errno, "extend", folder);
+    }
+
+    mdb_filehandle_t descriptor() const {
+        mdb_filehandle_t file = -1;
+        check(mdb_env_get_fd(env, &file), "file", folder);
+        return file;
+    }
+
+    off_t fileSize() const {
+        struct stat status {};
+        if (fstat(descriptor(), &status) != 0) check(errno, "size", folder);
+        return status.st_size;
+    }
+
     void put(MDB_txn* txn, char prefix, const std::string& name, const std::string& bytes) const {
         auto key = prefix + name;
         auto record = withChecksum(bytes);
@@ -155,8 +203,12 @@
         const std::unique_ptr<MDB_cursor, decltype(&mdb_cursor_close)> owned(cursor, &mdb_cursor_close);
         MDB_val keyData;
         MDB_val recordData;
+        const auto maxBytes = static_cast<std::size_t>(fileSize());
         int code = 0;
         while ((code = mdb_cursor_get(cursor, &keyData, &recordData, MDB_NEXT)) == 0) {
+            // A damaged page may state any size.
+            if (keyData.mv_size > maxBytes || recordData.mv_size > maxBytes)
+                check(MDB_CORRUPTED, "read", folder);
             const std::string key(static_cast<const char*>(keyData.mv_data), keyData.mv_size);
             if (key.empty() || key[0] != prefix) continue;
             visit(key.substr(1),
@@ -195,9 +247,7 @@
     check(transaction.commit(), "commit", environment_->folder);
     // LMDB writes its meta page through a descriptor opened with O_DSYNC. On file systems that ignore the
     // flag, only a sync of the file makes the commit durable.
-    mdb_filehandle_t file;
-    check(mdb_env_get_fd(environment_->env, &file), "file", environment_->folder);
-    if (fdatasync(file) != 0) check(errno, "sync", environment_->folder);
+    if (fdatasync(environment_->descriptor()) != 0) check(errno, "sync", environment_->folder);
 }
 
 }  // namespace lichenlanding::storage
