Log: a reader that stands still no longer holds the process up

What callers saw: with a full pipe behind standard error a process stood still in its first line: it never listened, and SIGTERM did not end it. Cause: log lines are written by the event loop's thread, and the write waits. Change: StderrSink asks first and drops what there is no room for; the next line tells the number in dropped_lines, and begins on a line of its own.

--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -1,12 +1,14 @@
 #include "transport/log.hpp"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <map>
+#include <memory>
+
+#include "transport/stderr_sink.hpp"
 
 namespace lichenlanding::transport {
 namespace {
@@ -19,12 +21,14 @@
 };
 
 std::string ownNodeName;
+std::shared_ptr<StderrSink> stderrSink;  // null before openLog()
 
 }  // namespace
 
 void openLog(const std::string& nodeName) {
     ownNodeName = nodeName;
-    auto logger = spdlog::stderr_logger_st("lichenlanding");
+    stderrSink = std::make_shared<StderrSink>();
+    auto logger = std::make_shared<spdlog::logger>("lichenlanding", stderrSink);
     logger->set_pattern("%v");
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
@@ -46,6 +50,8 @@
     const std::chrono::duration<double> clock = std::chrono::system_clock::now().time_since_epoch();
     fields["at"] = std::round(clock.count() * 1000) / 1000;
     if (limit.suppressed > 0) fields["held_back"] = std::exchange(limit.suppressed, 0);
+    if (const auto dropped = stderrSink ? stderrSink->takeDroppedLines() : 0; dropped > 0)
+        fields["dropped_lines"] = dropped;
     spdlog::info("{}", fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
