Soak: held addresses, unwritten settings, signals from main() on, a watch on all processes

Change: restarts on an address that is held, before the settings file is whole, and with SIGHUP from the moment at which the program blocks signals; rule FAULT for a process that ends by itself; a failed read-back is reported beside the other violations.

--- a/tests/integration/process_lifetime.cpp
+++ b/tests/integration/process_lifetime.cpp
@@ -287,7 +287,7 @@
                           [&](int output) { dup2(ends[1], output); });
             const auto address = cluster.at(name, name[0] == 'c' ? cluster.control : cluster.probe);
             cluster.until("the program answers", [&] {
-                const auto target = name[0] == 'c' ? "/api/rpc?call=status" : "/api/readiness";
+                const auto* target = name[0] == 'c' ? "/api/rpc?call=status" : "/api/readiness";
                 const auto method = name[0] == 'c' ? http::verb::post : http::verb::get;
                 return cluster.call(address, method, target).first > 0;
             });
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -4,6 +4,7 @@
 //
 //   lichenlanding_soak [--seed N] [--seconds N] [--proxies N] [--clients N]
 #include <CLI/CLI.hpp>
+#include <array>
 #include <iostream>
 
 #include "soak/soak_world.hpp"
@@ -43,6 +44,7 @@
         spawn(cluster_.io, "operator", changeConfiguration());
         spawn(cluster_.io, "proxy disturbances", disturbProxies());
         spawn(cluster_.io, "control node disturbances", disturbControlNodes());
+        spawn(cluster_.io, "process watch", watchProcesses());
         const Nanos end = now() + options_.seconds * kSecond;
         drive([&] { return now() >= end; }, end + kSecond);
         stopping_ = true;
@@ -50,7 +52,11 @@
         clients.stop();
         drive([&] { return clients.ended(); }, now() + kSettleTimeout);
         if (tasks_ > 0 || !clients.ended()) ledger_.violate("STUCK", "tasks of the soak did not end");
-        readBack();
+        try {
+            readBack();
+        } catch (const std::exception& failure) {
+            ledger_.violate("CONFIG", failure.what());
+        }
         checkLedger(ledger_);
         report();
         return ledger_.violations.empty();
@@ -107,6 +113,7 @@
     // Sends SIGTERM and up to two more signals that overlap with the shutdown, expects exit status 0 within
     // the grace period, and restarts the process.
     Task<> terminate(std::string name) {
+        ending_.insert(name);
         const int extraSignals = static_cast<int>(random_() % 3);
         const bool reloadFirst = random_() % 3 == 0;
         if (reloadFirst) signal(name, SIGHUP);
@@ -126,6 +133,7 @@
     }
 
     Task<> killHard(std::string name) {
+        ending_.insert(name);
         recordDisturbance(name);
         signal(name, SIGKILL);
         co_await awaitEnd(name, now() + kSecond);
@@ -147,10 +155,74 @@
         }
     }
 
+    // Restarts the process under one of the conditions that real machines have: its address is still in use,
+    // its settings file is still being written, or signals arrive during its start.
     Task<> relaunch(std::string name) {
-        co_await sleep(static_cast<Nanos>(10 + random_() % 400) * kMillisecond);
+        co_await sleep(static_cast<Nanos>(random_() % 400) * kMillisecond);
+        const auto hold = static_cast<Nanos>(20 + random_() % 400) * kMillisecond;
+        switch (random_() % 4) {
+            case 0:
+                co_await relaunchOnHeldAddress(name, hold);
+                break;
+            case 1:
+                co_await relaunchBeforeSettings(name, hold);
+                break;
+            default:
+                cluster_.launch(name, false);
+        }
+        ending_.erase(name);
+        co_await awaitMain(name);
+        for (int signals = static_cast<int>(random_() % 3); signals > 0; --signals) signal(name, SIGHUP);
+    }
+
+    Task<> relaunchOnHeldAddress(std::string name, Nanos hold) {
+        const std::array ports = {cluster_.internal, name[0] == 'c' ? cluster_.control : cluster_.front};
+        // Bound but not listening, so that clients are refused as by a machine that is down.
+        tcp::acceptor holder(cluster_.io, tcp::v4());
+        ErrorCode inUse;
+        holder.bind(parseAddress(cluster_.at(name, ports[random_() % ports.size()])), inUse);
         cluster_.launch(name, false);
-        co_await sleep(100 * kMillisecond);  // until its signal handlers are installed
+        co_await sleep(hold);
+    }
+
+    Task<> relaunchBeforeSettings(std::string name, Nanos hold) {
+        const auto text = cluster_.settings(name, false).dump();
+        std::ofstream(cluster_.settingsFileOf(name)) << text.substr(0, random_() % text.size());
+        cluster_.start(name);
+        co_await sleep(hold);
+        std::ofstream(cluster_.settingsFileOf(name)) << text;
+    }
+
+    // Waits until the program blocks signals, which it does first of all; until then the system's loader
+    // runs.
+    Task<> awaitMain(std::string name) {
+        const auto id = cluster_.programs[name].id;
+        while (!blocksOrHandles(id, SIGHUP)) co_await sleep(kMillisecond);
+    }
+
+    static bool blocksOrHandles(pid_t process, int number) {
+        std::ifstream status("/proc/" + std::to_string(process) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (!line.starts_with("SigBlk:") && !line.starts_with("SigCgt:")) continue;
+            if (std::stoull(line.substr(line.find('\t')), nullptr, 16) >> (number - 1) & 1) return true;
+        }
+        return !status.eof() || process <= 0;
+    }
+
+    // Rule FAULT: a process that the soak is not ending runs.
+    Task<> watchProcesses() {
+        ++tasks_;
+        while (!stopping_) {
+            co_await sleep(50 * kMillisecond);
+            for (auto& [name, program] : cluster_.programs) {
+                if (program.id <= 0 || ending_.contains(name)) continue;
+                if (waitpid(program.id, &program.status, WNOHANG) == 0) continue;
+                program.id = -1;
+                ledger_.violate("FAULT", name + " ended by itself with status " +
+                                             std::to_string(program.status) + ", after " + lastLine(program));
+            }
+        }
+        --tasks_;
     }
 
     // ---- Disturbances. ----
@@ -254,7 +326,8 @@
     Ledger ledger_;
     Pods pods_;
     std::vector<std::string> proxies_, controlNodes_;
-    std::set<std::string> busy_;  // proxies that are being disturbed
+    std::set<std::string> busy_;    // proxies that are being disturbed
+    std::set<std::string> ending_;  // programs that the soak is ending or restarting
     int tasks_ = 0;
     int version_ = 0, acknowledged_ = 0;
     bool stopping_ = false;
