Store: one above a lowered bound is no corruption

Change: only a file that is also shorter than it states, and would have to grow beyond the bound, is refused, and that as StorageError, which deletes nothing.

--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -159,11 +159,11 @@
         MDB_stat stat;
         check(mdb_env_info(env, &info), "info", folder);
         check(mdb_env_stat(env, &stat), "stat", folder);
-        const std::size_t pages = info.me_last_pgno + 1;
-        if (pages > maxBytes / stat.ms_psize) check(MDB_CORRUPTED, "size", folder);
-        const auto used = static_cast<off_t>(pages * stat.ms_psize);
+        const auto used = static_cast<off_t>((info.me_last_pgno + 1) * stat.ms_psize);
         const auto size = fileSize();
         if (size >= used + kMaxEntryOffset) return;
+        // The bound may have been lowered since the file was written, but no file grows beyond it.
+        if (size < used && used > static_cast<off_t>(maxBytes)) check(EFBIG, "extend", folder);
         if (ftruncate(descriptor(), used + kMaxEntryOffset) != 0 && size < used)
             check(errno, "extend", folder);
     }
--- a/tests/storage/replica_store.cpp
+++ b/tests/storage/replica_store.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(changedByteFailsChecksum);
     CPPUNIT_TEST(fullDiskRefusesWholeWrite);
     CPPUNIT_TEST(rewritesDoNotGrowTheFile);
+    CPPUNIT_TEST(storeAboveALoweredBoundIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     std::string folder_;
@@ -92,6 +93,14 @@
         CPPUNIT_ASSERT(store->states() == oneState(std::string(300'000, 'y'), 2));
     }
 
+    // A store that was written under a higher bound is still read.
+    void storeAboveALoweredBoundIsKept() {
+        const auto large = oneState(std::string(4 << 20, 'z'), 1);
+        std::make_unique<LmdbReplicaStore>(folder_, 16 << 20)->write(large, {});
+        const LmdbReplicaStore store(folder_, 1 << 20);
+        CPPUNIT_ASSERT(store.states() == large);
+    }
+
     // The file does not grow with the number of rewrites: 300 configurations need no more space than a few.
     void rewritesDoNotGrowTheFile() {
         LmdbReplicaStore store(folder_, 8 << 20);
