Log: memory_peak, how close a process has come to its limit

A process that is killed over the memory of its machine leaves no line. The peak is logged from half of limits.memory_mb on, at each further tenth, by both programs; the settings are read for it.

--- a/src/config/bootstrap_settings.hpp
+++ b/src/config/bootstrap_settings.hpp
@@ -28,6 +28,8 @@
     X(heartbeatText, std::string, "/heartbeat", false)                            \
     X(dataDir, std::string, "/data_dir", false)                                   \
     X(diskMegabytes, int, "/limits/disk_mb", false)                               \
+    X(memoryMegabytes, int, "/limits/memory_mb", false)                           \
+    X(maxDescriptors, int, "/limits/max_fds", false)                              \
     X(tolerableMachineLosses, int, "/fault_tolerance/machines", false)            \
     X(tolerableZoneLosses, int, "/fault_tolerance/zones", false)                  \
     X(tolerableRegionLosses, int, "/fault_tolerance/regions", false)              \
--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -17,6 +17,7 @@
 #include "subscription/configuration_cache.hpp"
 #include "transport/listener.hpp"
 #include "transport/log.hpp"
+#include "transport/memory_log.hpp"
 #include "transport/process_signals.hpp"
 
 namespace lichenlanding::control_plane {
@@ -86,6 +87,7 @@
     RolloutController rollouts_;
     AdminApi adminApi_;
     AdminServer adminServer_;
+    MemoryLog memoryLog_{boot_.memoryMegabytes};
     bool rolloutsRead_ = false;  // from a majority, since the start
     bool replicaOpen_ = false;
     bool stopping_ = false;
@@ -253,6 +255,7 @@
     std::set<std::string> reported;
     for (Nanos reportedAt = 0;;) {
         co_await sleep(kReachabilityCheckInterval);
+        memoryLog_.check();
         auto reachable = reachablePeers();
         if (reachable == reported && now() - reportedAt < kReportInterval) continue;
         reportedAt = now();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -11,6 +11,7 @@
 #include "proxy/rollout_voting.hpp"
 #include "transport/listener.hpp"
 #include "transport/log.hpp"
+#include "transport/memory_log.hpp"
 #include "transport/process_signals.hpp"
 
 namespace lichenlanding::proxy {
@@ -150,6 +151,7 @@
         for (bool wasReady = false;;) {
             co_await sleep(kHousekeepingInterval);
             detectStandstill();
+            memoryLog_.check();
             if (feed_.checkWaitElapsed()) connections_.sendToControlNodes(feed_.digest());
             httpServer_.enforceTimeouts(now());
             upstream_.closeExpired(now());
@@ -224,6 +226,7 @@
     PeerConnections connections_;
     RolloutVoting voting_;
     ControlPlaneFeed feed_;
+    MemoryLog memoryLog_{settings_.memoryMegabytes};
     Nanos lastHousekeeping_ = now(), staleUntil_ = 0;
     bool stopping_ = false;
 };
