Configuration: read one resource at a time, within bounds (FAULT)

Operators saw: processes of the core over their memory. An invalid configuration of 8 MB of nested lists took a control node to 622 MB and held it up for 1.9 s; 100,000 invalid routes left 304 MB resident. Cause: the text became a whole JSON tree, up to 80 times its size, before it was judged; each mistake was kept. Change: ConfigurationReader parses by events and builds one resource at a time, to 32 levels and 20,000 values; reading ends after 100 mistakes, each of at most 400 bytes.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/configuration_reader.hpp"
 #include "errors.hpp"
 #include "text.hpp"
 
@@ -42,14 +43,47 @@
     return all;
 }
 
+// Validation errors. Their number and length are limited: an invalid configuration may have more of them than
+// the machine has memory for.
+class ErrorList {
+  public:
+    void add(std::string error) {
+        if (full()) {
+            more_ = true;
+            return;
+        }
+        if (error.size() > kMaxErrorBytes) {
+            error.resize(kMaxErrorBytes);
+            error += "...";
+        }
+        errors_.push_back(std::move(error));
+    }
+    void append(const ErrorList& other) {
+        for (const auto& error : other.errors_) add(error);
+    }
+    bool empty() const { return errors_.empty(); }
+    bool full() const { return errors_.size() == kMaxErrors; }
+    std::vector<std::string> summary() const {
+        auto all = errors_;
+        if (more_) all.emplace_back("further mistakes are not listed");
+        return all;
+    }
+
+  private:
+    static constexpr std::size_t kMaxErrors = 100;
+    static constexpr std::size_t kMaxErrorBytes = 400;
+    std::vector<std::string> errors_;
+    bool more_ = false;
+};
+
 // Reads the fields of a JSON object and collects validation errors.
 struct FieldReader {
     const Json& object;
     std::string path;
-    std::vector<std::string>& errors;
+    ErrorList& errors;
 
     void addError(const std::string& name, const std::string& what) const {
-        errors.push_back(path + "/" + name + ": " + what);
+        errors.add(path + "/" + name + ": " + what);
     }
     const Json* field(const char* name, bool required) const {
         const auto found = object.is_object() ? object.find(name) : object.end();
@@ -167,16 +201,16 @@
     return names;
 }
 
-void checkServices(const Configuration& configuration, std::vector<std::string>& errors) {
+void checkServices(const Configuration& configuration, ErrorList& errors) {
     std::set<std::string> seen;
     for (const auto& service : configuration.services)
         if (!seen.insert(service.name).second)
-            errors.push_back("service_table " + service.name + ": is defined more than once");
+            errors.add("service_table " + service.name + ": is defined more than once");
 }
 
 // Indexes the routes by host and prefix. Reports unknown services and duplicate routes as errors.
 std::unordered_map<std::string, std::size_t> indexRoutes(const Configuration& configuration,
-                                                         std::vector<std::string>& errors) {
+                                                         ErrorList& errors) {
     std::unordered_map<std::string, std::size_t> routeIndex;
     const auto known = serviceNames(configuration);
     for (std::size_t position = 0; position < configuration.routes.size(); ++position) {
@@ -184,10 +218,10 @@
         const auto where = "route_table " + route.name + ": ";
         for (const auto& share : route.shares)
             if (!known.contains(share.service))
-                errors.push_back(where + "service " + share.service + " is not in any service_table");
+                errors.add(where + "service " + share.service + " is not in any service_table");
         if (!routeIndex.emplace(route.host + route.prefix, position).second)
-            errors.push_back(where + "another route has the host " + route.host + " and the path_prefix " +
-                             route.prefix);
+            errors.add(where + "another route has the host " + route.host + " and the path_prefix " +
+                       route.prefix);
     }
     return routeIndex;
 }
@@ -225,22 +259,30 @@
 }
 
 Configuration Configuration::parse(std::string_view bytes) {
-    const auto json = Json::parse(bytes, nullptr, false);
-    if (json.is_discarded()) throw ValidationError({"body: is not valid JSON"});
-    if (!json.is_object()) throw ValidationError({"body: must be an object"});
     Configuration configuration;
-    std::vector<std::string> errors;
-    const FieldReader top{json, "", errors};
+    ErrorList resourceErrors;
+    const auto reset = [&] {
+        configuration = {};
+        resourceErrors = {};
+    };
+    const auto addResource = [&](std::size_t index, const Json& resource) {
+        parseResource({resource, "/resources/" + std::to_string(index), resourceErrors}, index,
+                      configuration);
+        return !resourceErrors.full();
+    };
+    ConfigurationReader reader({reset, addResource});
+    const auto failure = reader.read(bytes);
+    if (!failure.empty()) throw ValidationError({failure});
+    if (reader.ended()) throw ValidationError(resourceErrors.summary());
+    ErrorList errors;
+    const FieldReader top{reader.fields(), "", errors};
     configuration.version = parseVersion(top);
     const auto* resources = top.field("resources", true);
     if (resources && !resources->is_array()) top.addError("resources", "must be a list");
-    if (resources && resources->is_array())
-        for (std::size_t index = 0; index < resources->size(); ++index)
-            parseResource({(*resources)[index], "/resources/" + std::to_string(index), errors}, index,
-                          configuration);
+    errors.append(resourceErrors);
     checkServices(configuration, errors);
     configuration.routeIndex_ = indexRoutes(configuration, errors);
-    if (!errors.empty()) throw ValidationError(std::move(errors));
+    if (!errors.empty()) throw ValidationError(errors.summary());
     return configuration;
 }
 
--- a/tests/config/configuration.cpp
+++ b/tests/config/configuration.cpp
@@ -41,6 +41,9 @@
 class ConfigurationTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationTest);
     CPPUNIT_TEST(mistakesAreAllNamed);
+    CPPUNIT_TEST(onlySomeOfManyMistakesAreNamed);
+    CPPUNIT_TEST(deepAndLongResourcesAreRefused);
+    CPPUNIT_TEST(laterFieldsReplaceEarlierOnes);
     CPPUNIT_TEST(longestPrefixWins);
     CPPUNIT_TEST(routeIsFoundAmongMany);
     CPPUNIT_TEST(settingsFileIsReadOrRefused);
@@ -87,6 +90,44 @@
         approve("configuration-errors", transcript);
     }
 
+    void onlySomeOfManyMistakesAreNamed() {
+        constexpr std::size_t kMistakes = 1000;
+        std::string all = "1";
+        for (std::size_t number = 1; number < kMistakes; ++number) all += ",1";
+        try {
+            Configuration::parse(R"({"config_version":"0000000c","resources":[)" + all + "]}");
+            CPPUNIT_FAIL("accepted");
+        } catch (const ValidationError& error) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{100}, error.errors.size());
+        }
+    }
+
+    void deepAndLongResourcesAreRefused() {
+        const auto nested = [](std::size_t depth) {
+            return configurationWith(
+                route("r", "/p/",
+                      kTimes + kToA + R"(,"more":)" + std::string(depth, '[') + std::string(depth, ']')));
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("taken, version 0000000c\n"), validate(nested(20)));
+        CPPUNIT_ASSERT_EQUAL(std::string("refused\n  body: is nested too deeply\n"), validate(nested(40)));
+        std::string values = "1";
+        while (values.size() < 50'000) values += ",1";
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("refused\n  /resources/0: has too many values\n"),
+            validate(configurationWith(route("r", "/p/", kTimes + kToA + R"(,"more":[)" + values + "]"))));
+    }
+
+    // As in other JSON readers, the last value of a name counts.
+    void laterFieldsReplaceEarlierOnes() {
+        const auto good = configurationWith(route("r", "/p/", kTimes + kToA));
+        const auto configuration = Configuration::parse(
+            R"({"resources":[7],"config_version":[{}],"other":{"resources":[1]},)" + good.substr(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, configuration.routes.size());
+        CPPUNIT_ASSERT_EQUAL(12U, configuration.version);
+        CPPUNIT_ASSERT_EQUAL(std::string("refused\n  /resources: must be a list\n"),
+                             validate(good.substr(0, good.size() - 1) + R"(,"resources":{}})"));
+    }
+
     void longestPrefixWins() {
         const auto configuration = Configuration::parse(configurationWith(
             route("short", "/a/", kTimes + kToA) + "," + route("long", "/a/b/", kTimes + kToA) + "," +
