Control plane: memory of requests, responses, rollouts and the store is bounded (FAULT)

Operators saw: processes of the core over their memory. 100 incomplete orders of 8 MB took a control node to 675 MB, 100 readers of a large configuration to 454 MB, one rollout with a name of 30 MB to 280 MB. Cause: bounds for each connection (96 MiB), none for all together, and none that knew limits.memory_mb. Change: limits::controlPlaneLimits divides the memory of the machine. Bodies are counted as they arrive (limits::MemoryBudget), responses until they are taken; beyond their share: 503. Orders other than configurations have 64 KiB, the record of rollouts 1 MiB, a stored configuration 4 MiB.

--- a/src/control_plane/admin_api.cpp
+++ b/src/control_plane/admin_api.cpp
@@ -2,6 +2,7 @@
 
 #include "admin/configuration_record.hpp"
 #include "config/configuration.hpp"
+#include "limits/process_limits.hpp"
 #include "messages/codec.hpp"
 #include "text.hpp"
 #include "transport/log.hpp"
@@ -104,6 +105,9 @@
     const bool known = call.name == kReplaceConfiguration || call.name == kReadConfiguration ||
                        call.name == kBeginRollout || call.name == kReadRollout;
     if (!known) co_return errorResponse(404, "call: no such call: " + call.name);
+    if (call.name != kReplaceConfiguration && body.size() > limits::kMaxOrderBytes)
+        co_return errorResponse(413,
+                                "body: is longer than " + std::to_string(limits::kMaxOrderBytes) + " bytes");
     if (!register_.hasQuorumContact())
         co_return retryLaterResponse("register: out of contact with a majority");
     try {
@@ -132,6 +136,8 @@
         log("configuration_rejected", {{"error", rejection.what()}});
         co_return jsonResponse(400, Json{{"errors", rejection.errors}});
     }
+    if (request.compressed.size() > limits::kMaxStoredConfigurationBytes)
+        co_return errorResponse(413, "body: takes too much room when it is stored");
     const auto version = config::formatVersion(request.number);
     const consensus::Change change = keepingUnreadable(
         [request](const std::string& current) { return admin::applyRequest(current, request); });
@@ -163,15 +169,19 @@
     const auto& request = *decoded;
     // By the value before the change: afterwards a new rollout is known.
     const auto outcomeBefore = std::make_shared<Outcome>(Outcome::known);
+    const auto recordIsFull = std::make_shared<bool>(false);
     const consensus::Change change =
-        keepingUnreadable([this, request, outcomeBefore](const std::string& current) {
+        keepingUnreadable([this, request, outcomeBefore, recordIsFull](const std::string& current) {
             const auto found = admin::classifyRequest(messages::decodeRollouts(current), request, repeats_);
             // A change that runs again finds the request known by its own earlier attempt.
             if (found != Outcome::known) *outcomeBefore = found;
-            return admin::addRollout(current, request, repeats_);
+            auto updated = admin::addRollout(current, request, repeats_);
+            *recordIsFull = updated.size() > std::max(current.size(), limits::kMaxStoredRolloutsBytes);
+            return *recordIsFull ? current : updated;
         });
     const auto value = co_await register_.update(kRolloutsKey, change, kRegisterTimeout);
     if (!value) co_return retryLaterResponse("register: no majority has synced the update in time");
+    if (*recordIsFull) co_return retryLaterResponse("rollouts: too many are on record");
     const auto outcome = admin::classifyRequest(messages::decodeRollouts(*value), request, repeats_);
     log("rollout_requested", {{"service", request.service},
                               {"target", request.target},
--- a/src/control_plane/admin_server.cpp
+++ b/src/control_plane/admin_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "transport/body_reader.hpp"
 #include "transport/log.hpp"
 
 namespace lichenlanding::control_plane {
@@ -14,7 +15,6 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxBodyBytes = 96 << 20;
 constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr Nanos kRejectTimeout = kSecond;
@@ -83,23 +83,39 @@
 
 Task<> AdminServer::serveRequests(Connection& connection) {
     while (co_await awaitRequest(connection)) {
-        Parser parser;
-        const auto code = co_await receive(connection, parser);
-        if (code) {
-            auto rejection = rejectionOf(code);
-            if (rejection) co_await rejectAndClose(connection, *rejection);
-            co_return;
+        auto response = co_await answerNext(connection);
+        if (!response) co_return;
+        limits::MemoryBudget::Share memory(responded_);
+        if (!memory.resize(response->body().size())) {
+            const bool keepAlive = response->keep_alive();
+            response = retryLaterResponse("memory: too many responses are being sent");
+            response->keep_alive(keepAlive);
         }
-        const auto request = parser.release();
-        ++requests_;
-        connection.enterPhase(Phase::answering);
-        auto response = co_await api_.answer(request);
-        response.keep_alive(request.keep_alive());
-        const bool keepOpen = co_await respond(connection, response, limits_.response);
+        const bool keepOpen = co_await respond(connection, *response, limits_.response);
         if (!keepOpen) co_return;
     }
 }
 
+/// Receives a request and returns its response. Null if the connection has ended, or was ended after a
+/// request that could not be received.
+Task<std::optional<AdminResponse>> AdminServer::answerNext(Connection& connection) {
+    Received received;
+    received.memory = limits::MemoryBudget::Share(received_);
+    const auto code = co_await receive(connection, received);
+    if (code && !received.rejection) received.rejection = rejectionOf(code);
+    if (received.rejection) {
+        received.request.body() = std::string();
+        received.memory.release();
+        co_await rejectAndClose(connection, *received.rejection);
+    }
+    if (code || received.rejection) co_return std::nullopt;
+    ++requests_;
+    connection.enterPhase(Phase::answering);
+    auto response = co_await api_.answer(received.request);
+    response.keep_alive(received.request.keep_alive());
+    co_return std::make_optional(std::move(response));
+}
+
 /// Waits for the first bytes of the next request. Returns false if none arrive in time.
 Task<bool> AdminServer::awaitRequest(Connection& connection) {
     connection.enterPhase(Phase::idle);
@@ -113,22 +129,44 @@
     co_return true;
 }
 
-Task<ErrorCode> AdminServer::receive(Connection& connection, Parser& parser) {
+Task<ErrorCode> AdminServer::receive(Connection& connection, Received& received) {
+    Parser parser;
+    auto code = co_await receiveHeader(connection, parser);
+    if (!code) {
+        received.request = AdminRequest(http::request_header<>(parser.get().base()));
+        code = co_await receiveBody(connection, parser, received);
+    }
+    co_return code;
+}
+
+Task<ErrorCode> AdminServer::receiveHeader(Connection& connection, Parser& parser) {
     auto& stream = connection.stream;
-    auto& buffer = connection.buffer;
     connection.enterPhase(Phase::receiving);
-    parser.body_limit(kMaxBodyBytes);
+    parser.body_limit(limits_.bodyBytes);
     parser.header_limit(kMaxHeaderBytes);
     ErrorCode code;
     stream.expires_after(toDuration(limits_.header));
-    co_await http::async_read_header(stream, buffer, parser, withErrorCode(code));
+    co_await http::async_read_header(stream, connection.buffer, parser, withErrorCode(code));
     if (code || parser.is_done()) co_return code;
-    stream.expires_after(toDuration(limits_.body));
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const http::response<http::empty_body> proceed(http::status::continue_, 11);
         co_await http::async_write(stream, proceed, withErrorCode(code));
     }
-    if (!code) co_await http::async_read(stream, buffer, parser, withErrorCode(code));
+    co_return code;
+}
+
+/// Takes memory for the body as it arrives, not as it is announced.
+Task<ErrorCode> AdminServer::receiveBody(Connection& connection, Parser& parser, Received& received) {
+    auto& body = received.request.body();
+    connection.stream.expires_after(toDuration(limits_.body));
+    ErrorCode code;
+    while (!code && !parser.is_done()) {
+        code = co_await readBodyBlock(connection.stream, connection.buffer, parser, body);
+        if (code || received.memory.resize(body.capacity())) continue;
+        log("admin_request_refused", {{"step", "receive"}, {"bytes", received_.used()}});
+        received.rejection = retryLaterResponse("memory: too many requests are being received");
+        co_return code;
+    }
     co_return code;
 }
 
--- a/src/control_plane/admin_server.hpp
+++ b/src/control_plane/admin_server.hpp
@@ -1,10 +1,12 @@
-// Serves the admin API over HTTP/1.1 on the control address, with time limits and a maximum number of
-// connections.
+// Serves the admin API over HTTP/1.1 on the control address, with time limits, a maximum number of
+// connections and a limit on the memory that requests and responses take.
 #pragma once
 
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "control_plane/admin_api.hpp"
+#include "limits/memory_budget.hpp"
 #include "transport/event_loop.hpp"
 
 namespace lichenlanding::control_plane {
@@ -13,17 +15,25 @@
 struct AdminServerLimits {
     Nanos idle = 15 * transport::kSecond;      ///< between two requests on a connection
     Nanos header = 3 * transport::kSecond;     ///< from a header's first byte to its last
-    Nanos body = 30 * transport::kSecond;      ///< for receiving a body, of at most 96 MiB
+    Nanos body = 30 * transport::kSecond;      ///< for receiving a body
     Nanos response = 30 * transport::kSecond;  ///< for sending a response
     std::size_t connections = 128;             ///< open at the same time
+    std::size_t bodyBytes = 16 << 20;          ///< of one request
+    std::size_t receivedBytes = 32 << 20;      ///< of the bodies of all requests in progress
+    std::size_t respondedBytes = 64 << 20;     ///< of the bodies of all responses that are being sent
 };
 
 /// Runs on the event loop's thread.
 class AdminServer {
   public:
     /// `api` must outlive this object.
-    AdminServer(transport::asio::io_context& io, AdminApi& api, AdminServerLimits limits = {})
-        : io_(io), api_(api), limits_(limits), connectionRemoved_(io) {}
+    AdminServer(transport::asio::io_context& io, AdminApi& api, const AdminServerLimits& limits = {})
+        : io_(io),
+          api_(api),
+          limits_(limits),
+          received_(limits.receivedBytes),
+          responded_(limits.respondedBytes),
+          connectionRemoved_(io) {}
 
     /// Serves while the acceptor is open. Requests of one connection are answered one at a time and in order.
     /// A response is sent only on its request's connection. A request is completed even if its client has
@@ -48,12 +58,21 @@
             since = transport::now();
         }
     };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+    /// A request as far as it was received. `rejection` is set if it is to be answered without being handled.
+    struct Received {
+        AdminRequest request;
+        limits::MemoryBudget::Share memory;
+        std::optional<AdminResponse> rejection;
+    };
 
     Task<> run(std::shared_ptr<Connection> connection);
     Task<> serveRequests(Connection& connection);
     Task<bool> awaitRequest(Connection& connection);
-    Task<transport::ErrorCode> receive(Connection& connection, Parser& parser);
+    Task<std::optional<AdminResponse>> answerNext(Connection& connection);
+    Task<transport::ErrorCode> receive(Connection& connection, Received& received);
+    Task<transport::ErrorCode> receiveHeader(Connection& connection, Parser& parser);
+    Task<transport::ErrorCode> receiveBody(Connection& connection, Parser& parser, Received& received);
     Task<bool> respond(Connection& connection, AdminResponse& response, Nanos timeout);
     Task<> rejectAndClose(Connection& connection, AdminResponse& response);
     void remove(const std::shared_ptr<Connection>& connection);
@@ -62,6 +81,7 @@
     transport::asio::io_context& io_;
     AdminApi& api_;
     const AdminServerLimits limits_;
+    limits::MemoryBudget received_, responded_;
     std::vector<std::shared_ptr<Connection>> connections_;
     transport::AsyncEvent connectionRemoved_;
     std::uint64_t requests_ = 0;
--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -14,6 +14,7 @@
 #include "control_plane/proxy_registry.hpp"
 #include "control_plane/replica_node.hpp"
 #include "control_plane/rollout_controller.hpp"
+#include "limits/process_limits.hpp"
 #include "subscription/configuration_cache.hpp"
 #include "transport/listener.hpp"
 #include "transport/log.hpp"
@@ -34,6 +35,16 @@
     return (static_cast<std::uint64_t>(random()) << 32) | random();
 }
 
+AdminServerLimits adminServerLimits(const config::BootstrapSettings& boot) {
+    const auto machine = limits::MachineLimits::fromSettings(boot.memoryMegabytes, boot.maxDescriptors);
+    const auto shares = limits::controlPlaneLimits(machine);
+    AdminServerLimits limits;
+    limits.bodyBytes = shares.bodyBytes;
+    limits.receivedBytes = shares.receivedBytes;
+    limits.respondedBytes = shares.respondedBytes;
+    return limits;
+}
+
 /// Owns the components of the process, and dispatches messages and events to them.
 class ControlPlane {
   public:
@@ -117,7 +128,7 @@
           [this] { return proxies_.names(); }),
       adminApi_(
           AdminApi::Register::of(replica_), rollouts_.repeatWindow(), [this] { return status(); }, metrics),
-      adminServer_(io_, adminApi_) {}
+      adminServer_(io_, adminApi_, adminServerLimits(boot_)) {}
 
 // ---- Connections with other processes. ----
 
--- a/src/control_plane/replica_storage.cpp
+++ b/src/control_plane/replica_storage.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 
 #include "control_plane/register_keys.hpp"
+#include "limits/process_limits.hpp"
 #include "membership/codec.hpp"
 #include "transport/log.hpp"
 
@@ -28,7 +29,9 @@
 
 ReplicaStorage::Opener ReplicaStorage::onDisk(const config::BootstrapSettings& boot) {
     const auto directory = boot.dataDir + "/promptbook";
-    const auto bytes = static_cast<std::size_t>(std::max(boot.diskMegabytes, 16) * kStoreDiskShare) << 20;
+    const auto machine = limits::MachineLimits::fromSettings(boot.memoryMegabytes, boot.maxDescriptors);
+    const auto onDisk = static_cast<std::size_t>(std::max(boot.diskMegabytes, 16) * kStoreDiskShare) << 20;
+    const auto bytes = std::min(onDisk, limits::controlPlaneLimits(machine).storeBytes);
     return [directory, bytes](bool replace) {
         if (replace) std::filesystem::remove_all(directory);
         std::filesystem::create_directories(directory);
--- a/tests/control_plane/admin_api.cpp
+++ b/tests/control_plane/admin_api.cpp
@@ -1,8 +1,11 @@
 // The admin API on a register that is out of contact, loses its majority during an operation or has handled
 // the same request before; and clients on loopback that disconnect, send incomplete requests, stall or are
 // too many.
+#include <random>
+
 #include "admin/configuration_record.hpp"
 #include "config/configuration.hpp"
+#include "limits/process_limits.hpp"
 #include "messages/codec.hpp"
 #include "support/admin_api_fixture.hpp"
 #include "transport/compression.hpp"
@@ -24,6 +27,10 @@
     CPPUNIT_TEST(slowConnectionsAreClosed);
     CPPUNIT_TEST(idleAndSlowConnectionsAreDropped);
     CPPUNIT_TEST(malformedRequestIsRejected);
+    CPPUNIT_TEST(requestsBeyondTheMemoryAreRefused);
+    CPPUNIT_TEST(responsesBeyondTheMemoryAreRefused);
+    CPPUNIT_TEST(longOrdersAreRejected);
+    CPPUNIT_TEST(rolloutsBeyondTheRecordAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
     // Begins rollouts of two services, so that reads of them have different responses.
@@ -393,5 +400,76 @@
         CPPUNIT_ASSERT_EQUAL(std::string("200 {\"config_version\":\"00000002\"}\n"),
                              fixture.responses(client, 1));
     }
+
+    // FAULT: bodies that were being received took any amount of memory. What a client has announced but not
+    // sent takes none; the memory is free again once the connection has ended.
+    void requestsBeyondTheMemoryAreRefused() {
+        control_plane::AdminServerLimits limits;
+        limits.receivedBytes = 256 << 10;
+        AdminApiFixture fixture(false, limits);
+        const std::string head =
+            "POST /api/rpc?call=config.replace HTTP/1.1\r\nHost: c\r\nContent-Length: 8000000\r\n\r\n";
+        const auto announcing = fixture.connect();
+        fixture.send(announcing, head);
+        fixture.until([&] { return fixture.server.connections() == 1; });
+        const auto large = fixture.connect();
+        fixture.send(large, head + std::string(300'000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), fixture.responses(large, 1).substr(0, 3));
+        CPPUNIT_ASSERT_EQUAL(std::string("end\n"), fixture.responses(large, 1));
+        large->socket.close();
+        fixture.until([&] { return fixture.server.connections() == 1; });
+        const auto client = fixture.connect();
+        fixture.send(client, AdminApiFixture::requestBytes("config.replace", configuration("00000002")));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.responses(client, 1).substr(0, 3));
+    }
+
+    // FAULT: each response that its client did not read took memory of its own.
+    void responsesBeyondTheMemoryAreRefused() {
+        control_plane::AdminServerLimits limits;
+        limits.respondedBytes = 40 << 20;
+        AdminApiFixture fixture(false, limits);
+        fixture.simulatedRegister.values[control_plane::kConfigurationKey] =
+            "0000000c" + compress(std::string(32 << 20, 'x'));
+        const auto silent = fixture.connect(4096);
+        fixture.send(silent, AdminApiFixture::requestBytes("config.read"));
+        fixture.until([&] { return fixture.simulatedRegister.operations == 1; });
+        fixture.io.poll();
+        const auto client = fixture.connect();
+        fixture.send(client, AdminApiFixture::requestBytes("config.read"));
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), fixture.responses(client, 1).substr(0, 3));
+        fixture.send(client, AdminApiFixture::requestBytes("status"));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.responses(client, 1).substr(0, 3));
+    }
+
+    // FAULT: an order for a rollout was stored at any length.
+    void longOrdersAreRejected() {
+        AdminApiFixture fixture;
+        const std::string name(100'000, 'n');
+        CPPUNIT_ASSERT_EQUAL(413U, fixture.status("rollouts.begin", rollout(name, "9s")));
+        // Random bytes, so that they cannot be compressed.
+        std::mt19937 random(1);
+        std::string incompressible;
+        while (incompressible.size() < 8 << 20) incompressible += std::to_string(random()) + "x";
+        const auto document =
+            Json{{"config_version", "00000002"}, {"resources", Json::array()}, {"unknown", incompressible}};
+        CPPUNIT_ASSERT_EQUAL(413U, fixture.status("config.replace", document.dump()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.simulatedRegister.operations);
+    }
+
+    // FAULT: orders for rollouts with long terms were stored in any number.
+    void rolloutsBeyondTheRecordAreRefused() {
+        AdminApiFixture fixture;
+        const auto order = [](int number) {
+            return R"({"service_name":"s)" + std::to_string(number) + std::string(50'000, 'n') +
+                   R"(","target_version":"v2","deadline":"600s"})";
+        };
+        int number = 0;
+        while (number < 100 && fixture.status("rollouts.begin", order(number)) == 200) ++number;
+        CPPUNIT_ASSERT(number > 10 && number < 25);
+        CPPUNIT_ASSERT_EQUAL(503U, fixture.status("rollouts.begin", order(number)));
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.status("rollouts.begin", order(0)));  // a repeat
+        CPPUNIT_ASSERT(fixture.simulatedRegister.values["rollouts"].size() <=
+                       limits::kMaxStoredRolloutsBytes);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AdminApiTest);
