--- a/src/proxy/body_relay.cpp
+++ b/src/proxy/body_relay.cpp
@@ -2,9 +2,10 @@
 
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "transport/body_reader.hpp"
+
 namespace lichenlanding::proxy {
 
 using namespace transport;
@@ -45,34 +46,17 @@
 Task<ErrorCode> readResponseBlock(ClientConnection& connection, RequestContext& request, std::string& block) {
     auto& parser = *request.unreadResponse->parser;
     auto& upstream = *request.unreadResponse->connection;
-    block.resize(readSize(parser));
-    parser.get().body().data = block.data();
-    parser.get().body().size = block.size();
+    block.clear();
     connection.writeStarted = 0;
     connection.upstreamSocket = &upstream.socket;
     connection.upstreamDeadline = request.routed.deadline;
-    ErrorCode error;
-    co_await http::async_read(upstream.socket, upstream.buffer, parser, withErrorCode(error));
+    const auto error = co_await readBodyBlock(upstream.socket, upstream.buffer, parser, block);
     connection.upstreamSocket = nullptr;
-    block.resize(block.size() - parser.get().body().size);
-    if (error == http::error::need_buffer) error = {};
     co_return error;
 }
 
 }  // namespace
 
-Task<ErrorCode> readBodyBlock(ClientConnection& connection, RequestParser& parser, std::string& body) {
-    const auto offset = body.size();
-    body.resize(offset + readSize(parser));
-    parser.get().body().data = body.data() + offset;
-    parser.get().body().size = body.size() - offset;
-    ErrorCode error;
-    co_await http::async_read(connection.socket, connection.buffer, parser, withErrorCode(error));
-    body.resize(body.size() - parser.get().body().size);
-    if (error == http::error::need_buffer) error = {};
-    co_return error;
-}
-
 Task<ErrorCode> relayRequestBody(std::shared_ptr<ClientConnection> connection,
                                  std::shared_ptr<RequestContext> request, tcp::socket& host) {
     request->uploadStarted = true;
@@ -82,7 +66,7 @@
     while (!error && !parser.is_done()) {
         std::string block;
         connection->readDeadline = now() + kRequestBodyTimeout;
-        error = co_await readBodyBlock(*connection, parser, block);
+        error = co_await readBodyBlock(connection->socket, connection->buffer, parser, block);
         if (error || block.empty()) continue;
         error = co_await writeBlock(host, block, chunked);
     }
--- a/src/proxy/body_relay.hpp
+++ b/src/proxy/body_relay.hpp
@@ -1,4 +1,4 @@
-/// Streaming of bodies larger than kMaxBufferedBody between client and host, block by block. Used from one
+/// Streaming of bodies that are not buffered whole between client and host, block by block. Used from one
 /// thread: the server's event loop.
 #pragma once
 
@@ -11,10 +11,6 @@
 /// Time limit for a whole buffered request body, or for the next block of a streamed one.
 constexpr Nanos kRequestBodyTimeout = 30 * transport::kSecond;
 
-/// Reads the next block of a request body and appends it to `body`. Returns the connection's error, if any.
-transport::Task<transport::ErrorCode> readBodyBlock(ClientConnection& connection, RequestParser& parser,
-                                                    std::string& body);
-
 /// Streams the body of `request` from the client to a host: first the buffered part, then the rest as it
 /// arrives. Returns the first error of either connection.
 transport::Task<transport::ErrorCode> relayRequestBody(std::shared_ptr<ClientConnection> connection,
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -8,6 +8,7 @@
 #include "proxy/body_relay.hpp"
 #include "proxy/http_headers.hpp"
 #include "proxy/request_handler.hpp"
+#include "transport/body_reader.hpp"
 #include "transport/log.hpp"
 
 namespace lichenlanding::proxy {
@@ -17,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t kReadBytes = 4096;       // offered to a client that has not sent anything yet
 constexpr std::size_t kPipelineLimit = 32;     // requests of one connection that were read but not answered
 constexpr Nanos kWriteTimeout = 10 * kSecond;  // for the client to accept response data
 constexpr Nanos kLingerTimeout = 300 * kMillisecond;  // after the last response, for bytes still in transit
@@ -30,6 +32,15 @@
 
 }  // namespace
 
+config::ClientLimits clientLimits(const routing::Router& router) {
+    return router.configuration() ? router.configuration()->clientLimits : config::ClientLimits{};
+}
+
+std::size_t headerLimit(const config::ClientLimits& limits) {
+    constexpr auto kGreatest = static_cast<std::int64_t>(limits::kMaxClientHeaderBytes);
+    return static_cast<std::size_t>(std::min(limits.headerBytes, kGreatest));
+}
+
 ClientConnection::ClientConnection(tcp::socket&& accepted, HttpServerContext& server, std::uint64_t number)
     : socket(std::move(accepted)), server_(server), number_(number), stateChanged_(server.io) {}
 
@@ -93,11 +104,6 @@
     cancelRead();
 }
 
-config::ClientLimits ClientConnection::limits() const {
-    return server_.router.configuration() ? server_.router.configuration()->clientLimits
-                                          : config::ClientLimits{};
-}
-
 void ClientConnection::startIdle(Nanos idleTimeout) {
     idleSince_ = now();
     idleTimeout_ = idleTimeout;
@@ -145,10 +151,15 @@
         co_await stateChanged_.wait(now() + kSecond);
 }
 
-// Waits until the number of unanswered requests is below the pipeline limit. Returns false if the client
-// disconnects meanwhile; this has to be polled, since its close comes after bytes that are not being read.
+bool ClientConnection::mayReadNextRequest() const {
+    if (requests_.empty()) return true;
+    return requests_.size() < kPipelineLimit && server_.buffers.available() >= kMaxBufferedBody;
+}
+
+// Waits until the next request may be read. Returns false if the client disconnects meanwhile; this has to be
+// polled, since its close comes after bytes that are not being read.
 Task<bool> ClientConnection::awaitPipelineCapacity() {
-    while (requests_.size() >= kPipelineLimit && !closed_) {
+    while (!mayReadNextRequest() && !closed_) {
         co_await stateChanged_.wait(now() + kHangUpCheckInterval);
         if (!closed_ && hasPeerHungUp()) co_return false;
     }
@@ -165,12 +176,13 @@
 Task<bool> ClientConnection::waitForBytes() {
     if (discardsInput()) buffer.consume(buffer.size());
     if (buffer.size() > 0) co_return true;
+    if (buffer.capacity() > kReadBytes) buffer.shrink_to_fit();
     waitingForRequest_ = true;
     if (!lastResponseSent_) {
         readDeadline = 0;
-        startIdle(limits().idleTimeout);
+        startIdle(clientLimits(server_.router).idleTimeout);
     }
-    const auto space = buffer.prepare(4096);
+    const auto space = buffer.prepare(kReadBytes);
     ErrorCode error;
     const auto received = co_await socket.async_read_some(space, withErrorCode(error));
     waitingForRequest_ = false;
@@ -182,19 +194,33 @@
 // Reads the head and, up to the buffering limit, the body.
 Task<> ClientConnection::readRequest(IncomingRequest& incoming) {
     // Read at the start of the request: the limits may have changed while the connection was idle.
-    const auto limits = this->limits();
+    const auto limits = clientLimits(server_.router);
     incoming.parser = std::make_shared<RequestParser>();
     auto& parser = *incoming.parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.header_limit(static_cast<std::uint32_t>(headerLimit(limits)));
+    buffer.max_size(std::max(buffer.size(), headerLimit(limits)) + kBodyBlockBytes);
     parser.body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
     readDeadline = now() + limits.headerTimeout;
     co_await http::async_read_header(socket, buffer, parser, withErrorCode(incoming.error));
-    if (incoming.error || parser.is_done()) co_return;
+    if (incoming.error) co_return;
+    accountForHeader(incoming);
+    if (parser.is_done()) co_return;
     readDeadline = now() + kRequestBodyTimeout;
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await sendContinue(incoming);
-    while (!incoming.error && !parser.is_done() && incoming.body.size() < kMaxBufferedBody)
-        incoming.error = co_await readBodyBlock(*this, parser, incoming.body);
+    const auto headerBytes = incoming.memory.bytes();
+    while (!incoming.error && !parser.is_done() && mayBufferMore(incoming.body, incoming.memory, headerBytes))
+        incoming.error = co_await readBodyBlock(socket, buffer, parser, incoming.body);
+}
+
+// A connection's only request has its memory without a share.
+void ClientConnection::accountForHeader(IncomingRequest& incoming) {
+    incoming.memory = limits::MemoryBudget::Share(server_.buffers);
+    if (requests_.empty()) return;
+    std::size_t headerBytes = 0;
+    for (const auto& field : incoming.parser->get())
+        headerBytes += field.name_string().size() + field.value().size();
+    incoming.memory.resizeUnconditionally(headerBytes + limits::kRequestOverheadBytes);
 }
 
 // Sends 100 Continue after the responses to all earlier requests.
@@ -237,6 +263,7 @@
     auto request = std::make_shared<RequestContext>();
     request->request = Request(http::request_header<>(parser->get().base()));
     request->request.body() = std::move(incoming.body);
+    request->requestMemory = std::move(incoming.memory);
     request->closesConnection = !request->request.keep_alive() || (server_.draining && server_.closingIdle);
     request->omitsResponseBody = request->request.method() == http::verb::head;
     if (!parser->is_done()) {
@@ -265,6 +292,7 @@
         const bool last = (request->closesConnection || self->server_.draining) && requests.size() == 1;
         self->lastResponseChosen_ = last;
         const auto error = co_await self->writeResponse(request, last);
+        request->releaseResponse();
         requests.pop_front();
         self->writeStarted = 0;
         if (error) {
@@ -272,7 +300,7 @@
             break;
         }
         if (requests.empty() && self->server_.router.configuration())
-            self->startIdle(self->limits().idleTimeout);
+            self->startIdle(clientLimits(self->server_.router).idleTimeout);
         self->stateChanged_.notify();
         if (last) {
             self->startLingering();
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -9,12 +9,22 @@
 
 namespace lichenlanding::proxy {
 
+/// The limits of the configuration in force, or the defaults before there is one.
+config::ClientLimits clientLimits(const routing::Router& router);
+/// The greatest header that is accepted under `limits`.
+std::size_t headerLimit(const config::ClientLimits& limits);
+
 /// Runs at most two coroutines: one reads requests, the other writes responses. Only the reader reads the
 /// socket (during the upload of a large body, the body's relay). It keeps reading and discarding after the
 /// last request, in order to notice when the client disconnects; unanswered requests are then notified
 /// (RequestContext::onClientDisconnected). A half-close counts as a disconnect: the two cannot be told apart.
-/// The server enforces the deadlines by calling the predicates below periodically. Used from one thread: the
-/// server's event loop.
+/// The server enforces the deadlines by calling the predicates below periodically.
+///
+/// Memory: the header, the first kUnsharedBodyBytes of the body and the handling of one request belong to the
+/// connection. Whatever is beyond that needs a share of the server's buffers: without one, a body is streamed
+/// instead of buffered, and no further request is read before the earlier ones are answered.
+///
+/// Used from one thread: the server's event loop.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
   public:
     ClientConnection(transport::tcp::socket&& accepted, HttpServerContext& server, std::uint64_t number);
@@ -43,6 +53,7 @@
     void onUploadEnded() { stateChanged_.notify(); }
     /// No request is being read, handled or answered.
     bool isIdle() const { return waitingForRequest_ && requests_.empty() && !writing_ && !lastResponseSent_; }
+    Nanos idleSince() const { return idleSince_; }  ///< meaningful while isIdle()
     /// Whether the socket has received bytes that were not read yet.
     bool hasUnreadBytes();
     /// The client has not accepted response data, or the host has not delivered the rest of a response, in
@@ -67,6 +78,7 @@
     struct IncomingRequest {
         std::shared_ptr<RequestParser> parser;
         std::string body;
+        limits::MemoryBudget::Share memory;
         transport::ErrorCode error;
     };
 
@@ -77,6 +89,8 @@
     bool reject(const IncomingRequest& incoming);
     bool discardsInput() const { return lastRequestRead_ || lastResponseChosen_; }
     transport::Task<> awaitUpload(std::shared_ptr<RequestContext> request);
+    void accountForHeader(IncomingRequest& incoming);
+    bool mayReadNextRequest() const;
     transport::Task<bool> awaitPipelineCapacity();
     bool hasPeerHungUp();
     void onClientDisconnected();
@@ -86,7 +100,6 @@
     transport::Task<transport::ErrorCode> writeResponse(std::shared_ptr<RequestContext> request, bool last);
     void startLingering();
 
-    config::ClientLimits limits() const;
     void startIdle(Nanos idleTimeout);
     void finish();
 
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -10,13 +10,25 @@
 
 // Pause after a failed accept(), which fails repeatedly while file descriptors are exhausted.
 constexpr Nanos kAcceptRetryDelay = 20 * kMillisecond;
+// How often a new connection that waits for room looks for one that has become idle.
+constexpr Nanos kRoomCheckInterval = 20 * kMillisecond;
 
 }  // namespace
 
 HttpServer::HttpServer(asio::io_context& io, routing::Router& router, UpstreamClient& upstream,
+                       limits::MemoryBudget& buffers, const limits::MachineLimits& machine,
                        std::function<bool()> isStateFresh)
-    : context_{io, router, upstream, std::move(isStateFresh),
-               [this](std::uint64_t connection) { connections_.erase(connection); }} {}
+    : context_{io,
+               router,
+               upstream,
+               buffers,
+               machine,
+               std::move(isStateFresh),
+               [this](std::uint64_t connection) {
+                   connections_.erase(connection);
+                   connectionClosed_.notify();
+               }},
+      connectionClosed_(io) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -30,6 +42,7 @@
             co_await sleep(kAcceptRetryDelay);
             continue;
         }
+        co_await makeRoom();
         ErrorCode ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         const auto connection =
@@ -39,6 +52,31 @@
     }
 }
 
+std::size_t HttpServer::maxConnections() const {
+    const auto headerBytes = headerLimit(clientLimits(context_.router));
+    return limits::proxyLimits(context_.machine, headerBytes).clientConnections;
+}
+
+// Returns when one more connection may be open.
+Task<> HttpServer::makeRoom() {
+    while (connections_.size() >= maxConnections()) {
+        log("client_connections_limited", {{"step", "accept"}, {"connections", connections_.size()}});
+        closeLongestIdle();
+        co_await connectionClosed_.wait(now() + kRoomCheckInterval);
+    }
+}
+
+// Its client may send a request at this moment, and treats it as unread when the connection closes.
+void HttpServer::closeLongestIdle() {
+    ClientConnection* longest = nullptr;
+    for (const auto& [_, connection] : connections_) {
+        if (!connection->isIdle()) continue;
+        if (longest && connection->idleSince() >= longest->idleSince()) continue;
+        if (!connection->hasUnreadBytes()) longest = connection.get();
+    }
+    if (longest) longest->cancelRead();
+}
+
 void HttpServer::drain() { context_.draining = true; }
 
 void HttpServer::closeIdle() {
--- a/src/proxy/http_server.hpp
+++ b/src/proxy/http_server.hpp
@@ -8,11 +8,15 @@
 namespace lichenlanding::proxy {
 
 /// Each connection reads ahead and answers in order (ClientConnection); each request passes through routing
-/// to the hosts (RequestHandler). Must outlive its coroutines. Used from one thread: the event loop of `io`.
+/// to the hosts (RequestHandler). The number of connections is limited, so that the process stays within the
+/// memory and the descriptors of its machine: at the limit, the connection that has been idle longest is
+/// closed for a new one; if none is idle, the new one waits. Must outlive its coroutines. Used from one
+/// thread: the event loop of `io`.
 class HttpServer {
   public:
-    /// `isStateFresh`: see HttpServerContext.
+    /// `buffers` must outlive this object. `isStateFresh`: see HttpServerContext.
     HttpServer(transport::asio::io_context& io, routing::Router& router, UpstreamClient& upstream,
+               limits::MemoryBudget& buffers, const limits::MachineLimits& machine,
                std::function<bool()> isStateFresh);
     ~HttpServer();
 
@@ -32,7 +36,12 @@
     const HttpServerStats& stats() const { return context_.stats; }
 
   private:
+    std::size_t maxConnections() const;
+    transport::Task<> makeRoom();
+    void closeLongestIdle();
+
     HttpServerContext context_;
+    transport::AsyncEvent connectionClosed_;
     std::map<std::uint64_t, std::shared_ptr<ClientConnection>>
         connections_;  // by number, in order of arrival
     std::uint64_t lastNumber_ = 0;
--- a/src/proxy/http_server_context.hpp
+++ b/src/proxy/http_server_context.hpp
@@ -24,6 +24,8 @@
     transport::asio::io_context& io;
     routing::Router& router;
     UpstreamClient& upstream;
+    limits::MemoryBudget& buffers;  ///< for requests and responses in progress
+    const limits::MachineLimits machine;
     /// False for a moment after a standstill of the process, when routing state may be out of date until a
     /// control node's update arrives.
     std::function<bool()> isStateFresh;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -39,11 +39,13 @@
   public:
     explicit Proxy(config::BootstrapSettings settings)
         : settings_(std::move(settings)),
+          machine_(limits::MachineLimits::fromSettings(settings_.memoryMegabytes, settings_.maxDescriptors)),
+          buffers_(limits::proxyLimits(machine_, 0).bufferedBytes),
           seed_(std::random_device{}()),
           incarnation_(drawIncarnation()),
           router_(settings_, seed_),
-          upstream_(io_),
-          httpServer_(io_, router_, upstream_, [this] { return isStateFresh(); }),
+          upstream_(io_, buffers_),
+          httpServer_(io_, router_, upstream_, buffers_, machine_, [this] { return isStateFresh(); }),
           clientAcceptor_(io_),
           readinessAcceptor_(io_),
           peerAcceptor_(io_),
@@ -215,6 +217,8 @@
     }
 
     config::BootstrapSettings settings_;
+    const limits::MachineLimits machine_;
+    limits::MemoryBudget buffers_;  // for requests and responses in progress
     asio::io_context io_{1};
     const std::uint32_t seed_;
     const std::uint64_t incarnation_;  // distinguishes this start of the process from earlier ones
--- a/src/proxy/readiness_server.hpp
+++ b/src/proxy/readiness_server.hpp
@@ -6,7 +6,7 @@
 namespace lichenlanding::proxy {
 
 /// Serves health checks until the acceptor is closed; `io` and `acceptor` must outlive it. A connection that
-/// sends no complete request within `timeout` is closed.
+/// sends no complete request within `timeout` is closed; so is the oldest one when there are too many.
 transport::Task<> serveReadiness(transport::asio::io_context& io, transport::tcp::acceptor& acceptor,
                                  std::function<bool()> ready, Nanos timeout = 10 * transport::kSecond);
 
--- a/src/proxy/request_context.hpp
+++ b/src/proxy/request_context.hpp
@@ -14,10 +14,12 @@
 /// from one thread: the proxy's event loop.
 struct RequestContext {
     Request request;
+    limits::MemoryBudget::Share requestMemory;  ///< for `request` and for the request's handling
     Response response;
-    bool responseReady = false;      ///< `response` (and `unreadResponse`) may be written
-    bool closesConnection = false;   ///< the connection is closed after this response
-    bool omitsResponseBody = false;  ///< HEAD: the response has no body
+    limits::MemoryBudget::Share responseMemory;  ///< for the body of `response`
+    bool responseReady = false;                  ///< `response` (and `unreadResponse`) may be written
+    bool closesConnection = false;               ///< the connection is closed after this response
+    bool omitsResponseBody = false;              ///< HEAD: the response has no body
     /// For a request body that is too large to buffer: the parser that reads the rest; `request` holds the
     /// first part. Null for others.
     std::shared_ptr<RequestParser> upload;
@@ -29,6 +31,12 @@
     std::shared_ptr<const config::Configuration> configuration;  ///< keeps `routed.route` alive
     /// Called if the client disconnects before the response; may be empty.
     std::function<void()> onClientDisconnected;
+
+    /// Frees the memory of the response once it is written: attempts that are still running keep the request.
+    void releaseResponse() {
+        response.body() = std::string();
+        responseMemory.release();
+    }
 };
 
 }  // namespace lichenlanding::proxy
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "text.hpp"
+#include "transport/body_reader.hpp"
 
 namespace lichenlanding::proxy {
 namespace {
@@ -77,6 +78,15 @@
 
 }  // namespace
 
+bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory, std::size_t otherBytes) {
+    if (body.size() >= kMaxBufferedBody) return false;
+    if (body.size() < limits::kUnsharedBodyBytes) return true;
+    // Strings grow by doubling.
+    const auto needed =
+        body.capacity() - body.size() < kBodyBlockBytes ? 2 * body.capacity() : body.capacity();
+    return memory.resize(otherBytes + needed);
+}
+
 void UpstreamRequest::abort() {
     if (!attempt->inFlight()) return;
     aborted = true;
@@ -221,14 +231,9 @@
         if (error) co_return error;
         if (parser->get().result_int() / 100 == 1) continue;  // an interim response has no body
         std::string body;
-        while (!parser->is_done() && body.size() < kMaxBufferedBody) {
-            const auto offset = body.size();
-            body.resize(offset + readSize(*parser));
-            parser->get().body().data = body.data() + offset;
-            parser->get().body().size = body.size() - offset;
-            co_await http::async_read(connection->socket, connection->buffer, *parser, withErrorCode(error));
-            body.resize(body.size() - parser->get().body().size);
-            if (error == http::error::need_buffer) error = {};
+        call->responseMemory = limits::MemoryBudget::Share(buffers_);
+        while (!parser->is_done() && mayBufferMore(body, call->responseMemory, 0)) {
+            error = co_await readBodyBlock(connection->socket, connection->buffer, *parser, body);
             if (error) co_return error;
         }
         call->response = Response(http::response_header<>(parser->get().base()));
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -11,6 +11,8 @@
 #include <functional>
 #include <map>
 
+#include "limits/memory_budget.hpp"
+#include "limits/process_limits.hpp"
 #include "routing/router.hpp"
 #include "transport/event_loop.hpp"
 
@@ -37,19 +39,13 @@
     Nanos idleLimit = 0;  ///< maximum idle time before reuse
 };
 
-/// Bodies up to this size are buffered whole, so that a request can be retried at another host; larger ones
-/// are streamed.
+/// Bodies up to this size are buffered whole, so that a request can be retried at another host; larger ones,
+/// and those that find the memory for buffers used up, are streamed.
 constexpr std::size_t kMaxBufferedBody = 256 << 10;
 
-/// Number of bytes to offer a parser for the next read. One more than the remaining length, if that is known:
-/// with an exact fit Beast ends the read before it has recognised the end of the body, and the next read
-/// would wait for bytes that never come.
-template <typename Parser>
-std::size_t readSize(const Parser& parser) {
-    constexpr std::size_t block = 16 << 10;
-    const auto left = parser.content_length_remaining();
-    return left && *left <= block ? static_cast<std::size_t>(*left) + 1 : block;
-}
+/// Whether the next block of a body may be buffered behind `body`; takes the memory for it. `otherBytes`:
+/// part of `memory` that is not for the body.
+bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory, std::size_t otherBytes);
 
 /// The part of a host's response that has not been read yet.
 struct UnreadBody {
@@ -68,6 +64,7 @@
     /// How the attempt ended; valid once call() has returned.
     routing::AttemptEvent end = routing::AttemptEvent::unreached;
     Response response;
+    limits::MemoryBudget::Share responseMemory;  ///< for the body of `response`
     std::unique_ptr<UnreadBody> unread;  ///< the rest of a response that is too large to buffer; null: none
     bool aborted = false;
     /// The end to report if the attempt is aborted.
@@ -82,7 +79,8 @@
 
 class UpstreamClient {
   public:
-    explicit UpstreamClient(asio::io_context& io) : io_(io) {}
+    /// `buffers` accounts for buffered responses and must outlive this object.
+    UpstreamClient(asio::io_context& io, limits::MemoryBudget& buffers) : io_(io), buffers_(buffers) {}
 
     /// Sends `request` (its hop-by-hop headers already removed) and reads one complete response. Fills
     /// `call`, and applies AttemptEvent::written to its attempt before the first byte is written; reporting
@@ -118,6 +116,7 @@
     void putIdle(std::shared_ptr<UpstreamConnection> connection);
 
     asio::io_context& io_;
+    limits::MemoryBudget& buffers_;
     std::map<std::string, HostPool> pools_;  // by host id
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -14,6 +14,7 @@
 constexpr double kUsableConnectionsFraction = 0.8;   // of a host's max_connections that the proxies share
 constexpr double kDefaultConnections = 2;  // per proxy, if the configuration does not have the service
 constexpr int kMinConnections = 2;
+constexpr double kMaxConnectionsToHost = 1 << 20;  // whatever max_connections allows
 // To a host of this proxy's subset, which few other proxies use.
 constexpr int kMinConnectionsToPreferred = 4;
 
@@ -211,7 +212,7 @@
                                        static_cast<double>(retryBudget_.proxyCount())
                                  : kDefaultConnections;
     const int minimum = host.preferred ? kMinConnectionsToPreferred : kMinConnections;
-    return std::max(minimum, static_cast<int>(share));
+    return std::max(minimum, static_cast<int>(std::min(share, kMaxConnectionsToHost)));
 }
 
 const verdict::Totals& Router::totals(const std::string& service, const std::string& target) const {
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -21,7 +21,7 @@
 constexpr Nanos kAcceptRetryDelay = 10 * kMillisecond;  // after a failed accept, such as out of descriptors
 // Limits the bytes buffered in the kernel, since later messages cannot overtake them.
 constexpr int kMaxKernelSendBuffer = 128 << 10;
-constexpr std::size_t kMaxQueuedBytes = 2 * kMaxMessageBytes;
+constexpr std::size_t kMaxQueuedBytes = 32 << 20;  // unless a single message is larger
 constexpr std::size_t kMaxFrameBytes = kMaxUnchunkedBytes + 1024;
 const std::string kHeartbeatBytes = "p\xf6";  // CBOR null, uncompressed; same in all versions
 
@@ -66,8 +66,9 @@
 
 void PeerConnection::send(EncodedMessage encoded) {
     if (!open_) return;
+    const bool wasEmpty = sendQueue_.empty();
     sendQueue_.push(std::move(encoded));
-    if (sendQueue_.bytes() > kMaxQueuedBytes) {
+    if (!wasEmpty && sendQueue_.bytes() > kMaxQueuedBytes) {
         log("peer_connection_overloaded", {{"peer", peer}, {"step", "send"}, {"bytes", sendQueue_.bytes()}});
         return close();
     }
--- a/tests/support/http_server_fixture.hpp
+++ b/tests/support/http_server_fixture.hpp
@@ -29,7 +29,9 @@
 
 class HttpServerFixture {
   public:
-    explicit HttpServerFixture(const std::string& routes = "") {
+    explicit HttpServerFixture(const std::string& routes = "", std::size_t bufferedBytes = 64 << 20,
+                               int descriptors = 4096)
+        : machine(limits::MachineLimits::fromSettings(256, descriptors)), buffers(bufferedBytes) {
         boot.zone = "z", boot.retrySlack = 20;
         router = std::make_unique<routing::Router>(boot, 1);
         router->setConfiguration(
@@ -37,8 +39,9 @@
         router->setProxyCount(1, now() - 10 * kSecond);
         router->setRollouts({}, now());
         router->setEndpointsKnown();
-        upstream = std::make_unique<proxy::UpstreamClient>(io);
-        httpServer = std::make_unique<proxy::HttpServer>(io, *router, *upstream, [] { return true; });
+        upstream = std::make_unique<proxy::UpstreamClient>(io, buffers);
+        httpServer = std::make_unique<proxy::HttpServer>(io, *router, *upstream, buffers, machine,
+                                                         [] { return true; });
         clients = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
         spawn(io, "clients", httpServer->serve(*clients));
     }
@@ -102,6 +105,8 @@
                "\r\n" + body;
     }
 
+    const limits::MachineLimits machine;
+    limits::MemoryBudget buffers;
     asio::io_context io{1};
     config::BootstrapSettings boot;
     std::unique_ptr<routing::Router> router;
--- a/tests/support/scripted_pods.cpp
+++ b/tests/support/scripted_pods.cpp
@@ -99,9 +99,9 @@
     router->setProxyCount(1, now() - 10 * kSecond);
     router->setRollouts({}, now());
     router->setEndpointsKnown();
-    upstream = std::make_unique<proxy::UpstreamClient>(proxyLoop);
-    httpServer =
-        std::make_unique<proxy::HttpServer>(proxyLoop, *router, *upstream, [this] { return stateIsFresh; });
+    upstream = std::make_unique<proxy::UpstreamClient>(proxyLoop, buffers);
+    httpServer = std::make_unique<proxy::HttpServer>(proxyLoop, *router, *upstream, buffers, machine,
+                                                     [this] { return stateIsFresh; });
     clientAcceptor_ = std::make_unique<tcp::acceptor>(transport::listen(proxyLoop, "127.0.0.1:0"));
     spawn(proxyLoop, "clients", httpServer->serve(*clientAcceptor_));
     for (const auto& pod : pods) {
--- a/tests/support/scripted_pods.hpp
+++ b/tests/support/scripted_pods.hpp
@@ -92,6 +92,8 @@
     void setLimits(int headerBytes, int bodyBytes);  // applies a new configuration
     int inFlight() const;                            // over all pods, as counted by routing
 
+    const limits::MachineLimits machine = limits::MachineLimits::fromSettings(256, 4096);
+    limits::MemoryBudget buffers{64 << 20};
     asio::io_context proxyLoop{1}, externalLoop{1};
     std::unique_ptr<routing::Router> router;
     std::unique_ptr<proxy::UpstreamClient> upstream;
