--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,12 +2,12 @@
 // restarts, suspensions and configuration changes occur in series and overlap. All choices derive from a
 // seed; timing depends on the machine. Prints the violated rules; the exit status is 1 if there are any.
 //
-//   lichenlanding_soak [--seed N] [--seconds N] [--proxies N] [--clients N]
+//   lichenlanding_soak [--seed N] [--seconds N] [--proxies N] [--clients N] [--heavy]
 #include <CLI/CLI.hpp>
 #include <array>
 #include <iostream>
 
-#include "soak/soak_world.hpp"
+#include "soak/heavy_clients.hpp"
 
 namespace soak {
 namespace {
@@ -16,6 +16,7 @@
 constexpr Nanos kExitTimeout = 2500 * kMillisecond;  // the grace period, plus 500 ms for a busy machine
 constexpr Nanos kSettleTimeout = 30 * kSecond;
 constexpr int kPods = 12;
+constexpr long kMemoryMegabytes = 128;  // of each process
 constexpr int kControlNodes = 3;
 
 struct Options {
@@ -23,6 +24,7 @@
     int seconds = 15;
     int proxies = 4;
     int clients = 24;
+    bool heavy = false;
 };
 
 class Soak {
@@ -30,6 +32,7 @@
     explicit Soak(const Options& options)
         : options_(options), random_(options.seed), pods_(cluster_, ledger_, kPods) {
         cluster_.grace = kGrace;
+        cluster_.memoryMegabytes = {{'c', kMemoryMegabytes}, {'e', kMemoryMegabytes}};
         for (int number = 1; number <= options.proxies; ++number)
             proxies_.push_back("e" + std::to_string(number));
         for (int number = 1; number <= kControlNodes; ++number)
@@ -41,6 +44,8 @@
         start();
         Clients clients(cluster_, ledger_, proxies_, options_.seed);
         clients.start(options_.clients);
+        HeavyClients heavyClients(cluster_, ledger_, proxies_, controlNodes_, options_.seed);
+        if (options_.heavy) heavyClients.start();
         spawn(cluster_.io, "operator", changeConfiguration());
         spawn(cluster_.io, "proxy disturbances", disturbProxies());
         spawn(cluster_.io, "control node disturbances", disturbControlNodes());
@@ -50,8 +55,10 @@
         stopping_ = true;
         drive([&] { return tasks_ == 0; }, now() + kSettleTimeout);
         clients.stop();
-        drive([&] { return clients.ended(); }, now() + kSettleTimeout);
-        if (tasks_ > 0 || !clients.ended()) ledger_.violate("STUCK", "tasks of the soak did not end");
+        heavyClients.stop();
+        const auto ended = [&] { return clients.ended() && heavyClients.ended(); };
+        drive(ended, now() + kSettleTimeout);
+        if (tasks_ > 0 || !ended()) ledger_.violate("STUCK", "tasks of the soak did not end");
         try {
             readBack();
         } catch (const std::exception& failure) {
@@ -209,12 +216,13 @@
         return !status.eof() || process <= 0;
     }
 
-    // Rule FAULT: a process that the soak is not ending runs.
+    // Rule FAULT: a process that the soak is not ending runs, and stays within its memory.
     Task<> watchProcesses() {
         ++tasks_;
         while (!stopping_) {
             co_await sleep(50 * kMillisecond);
             for (auto& [name, program] : cluster_.programs) {
+                checkMemory(name, program);
                 if (program.id <= 0 || ending_.contains(name)) continue;
                 if (waitpid(program.id, &program.status, WNOHANG) == 0) continue;
                 program.id = -1;
@@ -225,6 +233,14 @@
         --tasks_;
     }
 
+    void checkMemory(const std::string& name, const Program& program) {
+        if (program.id <= 0) return;
+        const auto resident = residentMegabytes(program.id);
+        highestResident_ = std::max(highestResident_, resident);
+        if (resident > kMemoryMegabytes && overMemory_.insert(name).second)
+            ledger_.violate("FAULT", name + " has " + std::to_string(resident) + " MB");
+    }
+
     // ---- Disturbances. ----
 
     // The caller must add `name` to busy_ and count the task in tasks_ before this starts; otherwise a second
@@ -315,8 +331,8 @@
         std::cout << "seed " << options_.seed << ": " << options_.proxies << " proxies, "
                   << ledger_.requests.size() << " requests, " << ledger_.answered << " answered, "
                   << ledger_.refused << " refused, " << ledger_.failed << " failed, " << ledger_.cut
-                  << " cut, " << ledger_.left << " left, configuration " << acknowledged_ << "; "
-                  << ledger_.violations.size() << " violations" << std::endl;
+                  << " cut, " << ledger_.left << " left, configuration " << acknowledged_ << ", at most "
+                  << highestResident_ << " MB; " << ledger_.violations.size() << " violations" << std::endl;
         for (const auto& violation : ledger_.violations) std::cout << "  " << violation << std::endl;
     }
 
@@ -326,8 +342,10 @@
     Ledger ledger_;
     Pods pods_;
     std::vector<std::string> proxies_, controlNodes_;
-    std::set<std::string> busy_;    // proxies that are being disturbed
-    std::set<std::string> ending_;  // programs that the soak is ending or restarting
+    std::set<std::string> busy_;        // proxies that are being disturbed
+    std::set<std::string> ending_;      // programs that the soak is ending or restarting
+    std::set<std::string> overMemory_;  // programs that were found above their memory
+    long highestResident_ = 0;          // of any program, in megabytes
     int tasks_ = 0;
     int version_ = 0, acknowledged_ = 0;
     bool stopping_ = false;
@@ -344,6 +362,7 @@
     app.add_option("--seconds", options.seconds)->check(CLI::Range(1, 600));
     app.add_option("--proxies", options.proxies)->check(CLI::Range(1, 250));
     app.add_option("--clients", options.clients)->check(CLI::Range(1, 2000));
+    app.add_flag("--heavy", options.heavy, "clients and operators that send as much as they may");
     CLI11_PARSE(app, argc, argv);
     try {
         const bool kept = soak::Soak(options).run();
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -89,7 +89,7 @@
                 {"bootstrap", bootstrap},
                 {"quorum_member", controlNode},
                 {"data_dir", disk},
-                {"limits", {{"disk_mb", 64}}},
+                {"limits", limits(name)},
                 {"fault_tolerance", {{"machines", 1}}},
                 {"bounds", {"grace=" + grace, "ack=" + ack}},
                 {"cloud_api",
@@ -100,6 +100,13 @@
                   {"readiness", at(name, probe)},
                   {"control_plane", at(name, control)}}}};
     }
+    Json limits(const std::string& name) const {
+        Json limits{{"disk_mb", 64}};
+        if (const auto memory = memoryMegabytes.find(name[0]); memory != memoryMegabytes.end())
+            limits["memory_mb"] = memory->second;
+        if (maxDescriptors > 0) limits["max_fds"] = maxDescriptors;
+        return limits;
+    }
     std::string diskOf(const std::string& name) const { return folder + "/" + name; }
     std::string settingsFileOf(const std::string& name) const { return diskOf(name) + ".json"; }
     // Writes the settings of the program `name`, creates its disk folder and starts it.
@@ -201,13 +208,16 @@
         CPPUNIT_FAIL(std::string("timed out waiting until ") + what);
     }
     // A configuration document of that version, with routes /r/ (idempotent), /w/ (non-idempotent) and
-    // `prefix`.
-    static std::string configuration(int version, const std::string& prefix) {
+    // `prefix`, and `furtherRoutes` below /further/.
+    static std::string configuration(int version, const std::string& prefix, int furtherRoutes = 0) {
         char digits[9];
         std::snprintf(digits, sizeof digits, "%08x", version);
         std::string all = std::string(R"({"config_version":")") + digits + R"(","resources":[)";
-        for (const auto& [kind, path] : std::vector<std::pair<std::string, std::string>>{
-                 {"idempotent", "/r/"}, {"non_idempotent", "/w/"}, {"idempotent", prefix}})
+        std::vector<std::pair<std::string, std::string>> routes{
+            {"idempotent", "/r/"}, {"non_idempotent", "/w/"}, {"idempotent", prefix}};
+        for (int number = 0; number < furtherRoutes; ++number)
+            routes.emplace_back("idempotent", "/further/" + std::to_string(number) + "/");
+        for (const auto& [kind, path] : routes)
             all += R"({"resource_type":"route_table","metadata":{"name":")" + path +
                    R"("},"spec":{"hostname":"h","path_prefix":")" + path + R"(","route_class":")" + kind +
                    R"(","timeout":"2s","target_latency":"1s","service_name":"s","max_attempts":2}},)";
@@ -218,6 +228,9 @@
     asio::io_context io{1};
     std::string folder, grace = "600ms", ack = "5s";
     unsigned internal = 0, control = 0, front = 0, probe = 0;
+    std::map<char, long> memoryMegabytes;  // `memory_mb` of control nodes ('c') and proxies ('e')
+    int maxDescriptors = 0;                // `max_fds`; 0: not in the settings
+    bool podsHang = false;                 // pods read requests and do not respond
     std::unique_ptr<tcp::acceptor> platform;
     std::vector<std::unique_ptr<tcp::acceptor>> podAcceptors;
     std::map<std::string, std::string> pods;  // address by instance id
@@ -264,6 +277,7 @@
             response.set("X-Attempt-Id", request["X-Attempt-Id"]);
             response.set("X-Response-Seal", "seal");
             response.body() = handle(request).dump();
+            while (podsHang) co_await sleep(20 * kMillisecond);
             response.prepare_payload();
             co_await http::async_write(socket, response, withErrorCode(code));
             if (code) co_return;
