Memory: small orders need no share; checks that could not fail; two functions for one struct

From reading the change as a whole. - While readers of large responses held their share of a control node's memory, the acknowledgement of an order got 503 in its place, and so did the order beside large bodies.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -48,10 +48,7 @@
 class ErrorList {
   public:
     void add(std::string error) {
-        if (full()) {
-            more_ = true;
-            return;
-        }
+        if (full()) return;
         if (error.size() > kMaxErrorBytes) {
             error.resize(kMaxErrorBytes);
             error += "...";
@@ -65,7 +62,7 @@
     bool full() const { return errors_.size() == kMaxErrors; }
     std::vector<std::string> summary() const {
         auto all = errors_;
-        if (more_) all.emplace_back("further mistakes are not listed");
+        if (full()) all.emplace_back("further mistakes, if any, are not listed");
         return all;
     }
 
@@ -73,7 +70,6 @@
     static constexpr std::size_t kMaxErrors = 100;
     static constexpr std::size_t kMaxErrorBytes = 400;
     std::vector<std::string> errors_;
-    bool more_ = false;
 };
 
 // Reads the fields of a JSON object and collects validation errors.
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -41,6 +41,12 @@
     if (key_ == kVersion || key_ == kResources) fields_[key_] = std::move(value);
 }
 
+bool ConfigurationReader::isResourceFull() {
+    if (values_ < kMaxValues) return false;
+    fail("/resources/" + std::to_string(index_) + ": has too many values");
+    return true;
+}
+
 // Inserts a value into the innermost open container of the resource.
 ConfigurationReader::Json& ConfigurationReader::insert(Json value) {
     auto& parent = *containers_.back();
@@ -53,7 +59,7 @@
 // A value that is neither a list nor an object.
 bool ConfigurationReader::add(Json value) {
     if (depth_ == 0) return fail("body: must be an object");
-    if (values_ == kMaxValues) return fail("/resources/" + std::to_string(index_) + ": has too many values");
+    if (isResourceFull()) return false;
     if (!containers_.empty()) insert(std::move(value));
     else if (depth_ == kFieldDepth) setField(std::move(value));
     else if (inResources_ && depth_ == kResourceDepth) return finishResource(value);
@@ -63,7 +69,7 @@
 bool ConfigurationReader::open(Json container) {
     if (depth_ == 0 && !container.is_object()) return fail("body: must be an object");
     if (depth_ == kMaxDepth) return fail("body: is nested too deeply");
-    if (values_ == kMaxValues) return fail("/resources/" + std::to_string(index_) + ": has too many values");
+    if (isResourceFull()) return false;
     if (!containers_.empty()) {
         containers_.push_back(&insert(std::move(container)));
     } else if (depth_ == kFieldDepth) {
--- a/src/config/configuration_reader.hpp
+++ b/src/config/configuration_reader.hpp
@@ -57,6 +57,7 @@
     bool fail(std::string reason);
     bool finishResource(const Json& resource);
     void setField(Json value);
+    bool isResourceFull();
     Json& insert(Json value);
 
     Callbacks callbacks_;
--- a/src/control_plane/admin_server.cpp
+++ b/src/control_plane/admin_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "limits/process_limits.hpp"
 #include "transport/body_reader.hpp"
 #include "transport/log.hpp"
 
@@ -31,6 +32,12 @@
     return std::nullopt;
 }
 
+/// Takes memory for a body. Bodies of the size of an order need no share: the number of connections limits
+/// them, and an acknowledgement must not wait for readers of large responses.
+bool holds(limits::MemoryBudget::Share& memory, std::size_t bytes) {
+    return bytes <= limits::kMaxOrderBytes || memory.resize(bytes);
+}
+
 }  // namespace
 
 Task<> AdminServer::serve(tcp::acceptor& acceptor) {
@@ -86,7 +93,7 @@
         auto response = co_await answerNext(connection);
         if (!response) co_return;
         limits::MemoryBudget::Share memory(responded_);
-        if (!memory.resize(response->body().size())) {
+        if (!holds(memory, response->body().size())) {
             const bool keepAlive = response->keep_alive();
             response = retryLaterResponse("memory: too many responses are being sent");
             response->keep_alive(keepAlive);
@@ -162,7 +169,7 @@
     ErrorCode code;
     while (!code && !parser.is_done()) {
         code = co_await readBodyBlock(connection.stream, connection.buffer, parser, body);
-        if (code || received.memory.resize(body.capacity())) continue;
+        if (code || holds(received.memory, body.capacity())) continue;
         log("admin_request_refused", {{"step", "receive"}, {"bytes", received_.used()}});
         received.rejection = retryLaterResponse("memory: too many requests are being received");
         co_return code;
--- a/src/control_plane/admin_server.hpp
+++ b/src/control_plane/admin_server.hpp
@@ -42,6 +42,8 @@
 
     std::uint64_t requests() const { return requests_; }  ///< received so far
     std::size_t connections() const { return connections_.size(); }
+    /// Of the bodies of requests and responses in progress.
+    std::size_t bytes() const { return received_.used() + responded_.used(); }
 
   private:
     // In the order in which connections are dropped in favor of new ones when the limit is reached. A
--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -298,6 +298,8 @@
     report.votes = rollouts_.votes();
     report.adminRequests = adminServer_.requests();
     report.adminConnections = adminServer_.connections();
+    report.adminBytes = adminServer_.bytes();
+    report.peakMemoryBytes = peakResidentBytes();
     report.listRequests = endpointDiscovery_.requests();
     report.listRateLimited = endpointDiscovery_.rateLimited();
     return report;
--- a/src/control_plane/status_report.cpp
+++ b/src/control_plane/status_report.cpp
@@ -75,6 +75,8 @@
     add("rollouts", "gauge", report.rollouts.size());
     add("operator_callers", "gauge", report.adminConnections);
     add("operator_calls_total", "counter", report.adminRequests);
+    add("operator_bytes", "gauge", report.adminBytes);
+    add("memory_peak_bytes", "gauge", report.peakMemoryBytes);
     add("list_calls_total", "counter", report.listRequests);
     add("list_refused_total", "counter", report.listRateLimited);
     return page;
--- a/src/control_plane/status_report.hpp
+++ b/src/control_plane/status_report.hpp
@@ -35,7 +35,10 @@
     Json rollouts = Json::array();                                 ///< as stored in the register
     std::vector<Json> votes;                                       ///< as received from the proxies
     std::uint64_t adminRequests = 0;
-    std::size_t adminConnections = 0;                     ///< currently open; reported in the metrics only
+    std::size_t adminConnections = 0;  ///< currently open; reported in the metrics only
+    // Reported in the metrics only: bytes of admin requests and responses in progress, highest resident
+    // memory.
+    std::size_t adminBytes = 0, peakMemoryBytes = 0;
     std::uint64_t listRequests = 0, listRateLimited = 0;  ///< pages requested; of these, answered with 429
 };
 
--- a/src/limits/process_limits.hpp
+++ b/src/limits/process_limits.hpp
@@ -17,18 +17,15 @@
     static MachineLimits fromSettings(int memoryMegabytes, int maxDescriptors);
 };
 
-/// Of a proxy.
-struct ProxyLimits {
-    std::size_t bufferedBytes;  ///< of requests and responses in progress, beyond what each connection has
-    std::size_t clientConnections;  ///< open at the same time
-};
-
-/// `headerBytes`: the greatest header that a client may send.
-ProxyLimits proxyLimits(const MachineLimits& machine, std::size_t headerBytes);
+/// Of a proxy: what requests and responses in progress may buffer together, beyond what each connection has.
+std::size_t proxyBufferBytes(const MachineLimits& machine);
+/// Of a proxy: client connections that are open at the same time. `headerBytes`: the greatest header that a
+/// client may send.
+std::size_t maxClientConnections(const MachineLimits& machine, std::size_t headerBytes);
 
 /// The greatest header that a proxy accepts, whatever the configuration allows.
 constexpr std::size_t kMaxClientHeaderBytes = 256 << 10;
-/// The part of a body that each request may buffer without a share of `bufferedBytes`.
+/// The part of a body that each request may buffer without a share of proxyBufferBytes().
 constexpr std::size_t kUnsharedBodyBytes = 16 << 10;
 /// What a request in progress takes in addition to its header and its body.
 constexpr std::size_t kRequestOverheadBytes = 24 << 10;
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -208,19 +208,19 @@
     readDeadline = now() + kRequestBodyTimeout;
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await sendContinue(incoming);
-    const auto headerBytes = incoming.memory.bytes();
-    while (!incoming.error && !parser.is_done() && mayBufferMore(incoming.body, incoming.memory, headerBytes))
+    while (!incoming.error && !parser.is_done() && mayBufferMore(incoming.body, incoming.bodyMemory))
         incoming.error = co_await readBodyBlock(socket, buffer, parser, incoming.body);
 }
 
 // A connection's only request has its memory without a share.
 void ClientConnection::accountForHeader(IncomingRequest& incoming) {
-    incoming.memory = limits::MemoryBudget::Share(server_.buffers);
+    incoming.handlingMemory = limits::MemoryBudget::Share(server_.buffers);
+    incoming.bodyMemory = limits::MemoryBudget::Share(server_.buffers);
     if (requests_.empty()) return;
     std::size_t headerBytes = 0;
     for (const auto& field : incoming.parser->get())
         headerBytes += field.name_string().size() + field.value().size();
-    incoming.memory.resizeUnconditionally(headerBytes + limits::kRequestOverheadBytes);
+    incoming.handlingMemory.resizeUnconditionally(headerBytes + limits::kRequestOverheadBytes);
 }
 
 // Sends 100 Continue after the responses to all earlier requests.
@@ -263,7 +263,8 @@
     auto request = std::make_shared<RequestContext>();
     request->request = Request(http::request_header<>(parser->get().base()));
     request->request.body() = std::move(incoming.body);
-    request->requestMemory = std::move(incoming.memory);
+    request->handlingMemory = std::move(incoming.handlingMemory);
+    request->requestMemory = std::move(incoming.bodyMemory);
     request->closesConnection = !request->request.keep_alive() || (server_.draining && server_.closingIdle);
     request->omitsResponseBody = request->request.method() == http::verb::head;
     if (!parser->is_done()) {
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -53,8 +53,7 @@
 }
 
 std::size_t HttpServer::maxConnections() const {
-    const auto headerBytes = headerLimit(clientLimits(context_.router));
-    return limits::proxyLimits(context_.machine, headerBytes).clientConnections;
+    return limits::maxClientConnections(context_.machine, headerLimit(clientLimits(context_.router)));
 }
 
 // Returns when one more connection may be open.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -40,7 +40,7 @@
     explicit Proxy(config::BootstrapSettings settings)
         : settings_(std::move(settings)),
           machine_(limits::MachineLimits::fromSettings(settings_.memoryMegabytes, settings_.maxDescriptors)),
-          buffers_(limits::proxyLimits(machine_, 0).bufferedBytes),
+          buffers_(limits::proxyBufferBytes(machine_)),
           seed_(std::random_device{}()),
           incarnation_(drawIncarnation()),
           router_(settings_, seed_),
--- a/src/proxy/request_context.hpp
+++ b/src/proxy/request_context.hpp
@@ -14,7 +14,8 @@
 /// from one thread: the proxy's event loop.
 struct RequestContext {
     Request request;
-    limits::MemoryBudget::Share requestMemory;  ///< for `request` and for the request's handling
+    limits::MemoryBudget::Share handlingMemory;  ///< for the header of `request`, and for its handling
+    limits::MemoryBudget::Share requestMemory;   ///< for the body of `request`
     Response response;
     limits::MemoryBudget::Share responseMemory;  ///< for the body of `response`
     bool responseReady = false;                  ///< `response` (and `unreadResponse`) may be written
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -78,13 +78,13 @@
 
 }  // namespace
 
-bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory, std::size_t otherBytes) {
+bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory) {
     if (body.size() >= kMaxBufferedBody) return false;
     if (body.size() < limits::kUnsharedBodyBytes) return true;
     // Strings grow by doubling.
     const auto needed =
         body.capacity() - body.size() < kBodyBlockBytes ? 2 * body.capacity() : body.capacity();
-    return memory.resize(otherBytes + needed);
+    return memory.resize(needed);
 }
 
 void UpstreamRequest::abort() {
@@ -232,7 +232,7 @@
         if (parser->get().result_int() / 100 == 1) continue;  // an interim response has no body
         std::string body;
         call->responseMemory = limits::MemoryBudget::Share(buffers_);
-        while (!parser->is_done() && mayBufferMore(body, call->responseMemory, 0)) {
+        while (!parser->is_done() && mayBufferMore(body, call->responseMemory)) {
             error = co_await readBodyBlock(connection->socket, connection->buffer, *parser, body);
             if (error) co_return error;
         }
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -43,9 +43,8 @@
 /// and those that find the memory for buffers used up, are streamed.
 constexpr std::size_t kMaxBufferedBody = 256 << 10;
 
-/// Whether the next block of a body may be buffered behind `body`; takes the memory for it. `otherBytes`:
-/// part of `memory` that is not for the body.
-bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory, std::size_t otherBytes);
+/// Whether the next block of a body may be buffered behind `body`; takes the memory for it.
+bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory);
 
 /// The part of a host's response that has not been read yet.
 struct UnreadBody {
--- a/tests/config/configuration.cpp
+++ b/tests/config/configuration.cpp
@@ -98,7 +98,9 @@
             Configuration::parse(R"({"config_version":"0000000c","resources":[)" + all + "]}");
             CPPUNIT_FAIL("accepted");
         } catch (const ValidationError& error) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t{100}, error.errors.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{101}, error.errors.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("further mistakes, if any, are not listed"),
+                                 error.errors.back());
         }
     }
 
--- a/tests/control_plane/status_report.cpp
+++ b/tests/control_plane/status_report.cpp
@@ -27,6 +27,8 @@
         report.votes = {{{"t", "vote"}}};
         report.adminRequests = 9;
         report.adminConnections = 5;
+        report.adminBytes = 4096;
+        report.peakMemoryBytes = 8192;
         report.listRequests = 20;
         report.listRateLimited = 6;
         return report;
@@ -55,6 +57,8 @@
                                                                         {"rollouts gauge", "1"},
                                                                         {"operator_callers gauge", "5"},
                                                                         {"operator_calls_total counter", "9"},
+                                                                        {"operator_bytes gauge", "4096"},
+                                                                        {"memory_peak_bytes gauge", "8192"},
                                                                         {"list_calls_total counter", "20"},
                                                                         {"list_refused_total counter", "6"}};
         std::string page;
--- a/tests/integration/memory_limit.cpp
+++ b/tests/integration/memory_limit.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include "support/cluster_fixture.hpp"
+#include "support/process_memory.hpp"
 
 using namespace cluster;
 
@@ -19,15 +20,6 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-// The highest resident memory of a process so far, in megabytes; -1 if it has ended.
-long peakMegabytes(pid_t process) {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);)
-        if (line.starts_with("VmHWM:"))
-            return std::stol(line.substr(line.find_first_of("0123456789"))) / 1024;
-    return -1;
-}
-
 // Clients that send bytes until the receiver takes no more, and read nothing.
 class SilentClients {
   public:
@@ -95,18 +87,18 @@
 
     static void pump(Cluster& cluster) { cluster.io.run_for(std::chrono::milliseconds(10)); }
 
-    // The process runs, within its memory, and answers.
+    // The process runs, and has stayed within its memory.
+    static void checkMemory(Cluster& cluster, const std::string& name, long limit) {
+        const auto peak = process_memory::megabytes(cluster.programs[name].id, "VmHWM");
+        CPPUNIT_ASSERT_MESSAGE(name + " reached " + std::to_string(peak) + " MB", peak >= 0 && peak <= limit);
+    }
     static void checkControlNode(Cluster& cluster) {
-        const auto peak = peakMegabytes(cluster.programs["c1"].id);
-        CPPUNIT_ASSERT_MESSAGE("c1 reached " + std::to_string(peak) + " MB",
-                               peak >= 0 && peak <= kControlPlaneMegabytes);
+        checkMemory(cluster, "c1", kControlPlaneMegabytes);
         cluster.until("the configuration is read",
                       [&] { return cluster.rpc("c1", "config.read").first == 200; });
     }
     static void checkProxy(Cluster& cluster) {
-        const auto peak = peakMegabytes(cluster.programs["e1"].id);
-        CPPUNIT_ASSERT_MESSAGE("e1 reached " + std::to_string(peak) + " MB",
-                               peak >= 0 && peak <= kProxyMegabytes);
+        checkMemory(cluster, "e1", kProxyMegabytes);
         cluster.until("a request is served", [&] { return cluster.get("e1", "/r/1") == 200; });
     }
 
--- a/tests/limits/process_limits.cpp
+++ b/tests/limits/process_limits.cpp
@@ -13,25 +13,25 @@
 
 }  // namespace
 
-TEST_CASE("proxyLimits: connections and buffers together stay within the memory") {
+TEST_CASE("proxy limits: connections and buffers together stay within the memory") {
     for (const int megabytes : {64, 160, 260, 1024}) {
         for (const std::size_t headerBytes : {std::size_t{0}, std::size_t{16} << 10, kMaxClientHeaderBytes}) {
             const auto machine = MachineLimits::fromSettings(megabytes, 1 << 20);
-            const auto limits = proxyLimits(machine, headerBytes);
+            const auto connections = maxClientConnections(machine, headerBytes);
             // A header as received, parsed and sent on; the first blocks of a request, a response and an
             // upload.
             const auto perConnection = 3 * headerBytes + 3 * kUnsharedBodyBytes;
-            const auto most = limits.bufferedBytes + limits.clientConnections * perConnection + kProgramBytes;
+            const auto most = proxyBufferBytes(machine) + connections * perConnection + kProgramBytes;
             CHECK(most < machine.memoryBytes);
-            CHECK(limits.clientConnections >= 16);
+            CHECK(connections >= 16);
         }
     }
 }
 
-TEST_CASE("proxyLimits: clients leave as many descriptors for connections to pods") {
+TEST_CASE("maxClientConnections: clients leave as many descriptors for connections to pods") {
     for (const int descriptors : {100, 500, 4100}) {
-        const auto limits = proxyLimits(MachineLimits::fromSettings(4096, descriptors), 0);
-        CHECK(2 * limits.clientConnections < static_cast<std::size_t>(descriptors));
+        const auto connections = maxClientConnections(MachineLimits::fromSettings(4096, descriptors), 0);
+        CHECK(2 * connections < static_cast<std::size_t>(descriptors));
     }
 }
 
--- a/tests/proxy/buffer_limit.cpp
+++ b/tests/proxy/buffer_limit.cpp
@@ -59,49 +59,38 @@
 
     void buffersAreReturned() {
         HttpServerFixture fixture(largeLimits());
-        fixture.pod("i-1", {{ok(std::string(kLargeBody, 'r'))}, {ok("a")}, {ok("b")}, {ok("c")}});
-        fixture.client(HttpServerFixture::get("a"), 1);
-        fixture.client(HttpServerFixture::post("b", std::string(kLargeBody, 'w')), 1);
-        fixture.client(HttpServerFixture::get("c") + HttpServerFixture::get("d"), 2);
+        fixture.pod("i-1", {{"", Reply::keepOpen}});
+        tcp::socket client(fixture.io);
+        client.connect(fixture.clients->local_endpoint());
+        const auto request =
+            HttpServerFixture::get("a", "/read/1", "Content-Length: " + std::to_string(kLargeBody) + "\r\n");
+        asio::write(client, asio::buffer(request + std::string(kLargeBody, 'w')));
+        fixture.until([&] { return fixture.buffers.used() >= kLargeBody; });
+        client.close();
         fixture.until([&] { return fixture.buffers.used() == 0; });
     }
 
     // FAULT: connections were accepted until no descriptor was left for pods.
     void longestIdleConnectionGivesWay() {
-        constexpr int kDescriptors = 60;
-        HttpServerFixture fixture("", 64 << 20, kDescriptors);
-        fixture.pod("i-1", {{ok("served")}});
-        const auto most = limits::proxyLimits(fixture.machine, 2048).clientConnections;
-        std::deque<tcp::socket> idle;
-        for (std::size_t number = 0; number < most; ++number) {
-            idle.emplace_back(fixture.io).connect(fixture.clients->local_endpoint());
-            fixture.until([&] { return fixture.httpServer->openConnections() == number + 1; });
-            fixture.pollUntilIdle();
-        }
+        HttpServerFixture fixture("", 64 << 20, 60);
+        const auto idle = connectToTheLimit(fixture, "");
         const auto received = fixture.client(HttpServerFixture::get("a"), 1);
         CPPUNIT_ASSERT_MESSAGE(received, received.find("served") != std::string::npos);
         char byte;
         ErrorCode code;
-        idle.front().read_some(asio::buffer(&byte, 1), code);
+        idle->front().non_blocking(true);
+        idle->front().read_some(asio::buffer(&byte, 1), code);
         CPPUNIT_ASSERT_EQUAL(asio::error::make_error_code(asio::error::eof).message(), code.message());
-        CPPUNIT_ASSERT(fixture.httpServer->openConnections() <= most);
     }
 
     void connectionWaitsWhileNoneIsIdle() {
-        constexpr int kDescriptors = 20;
-        HttpServerFixture fixture("", 64 << 20, kDescriptors);
-        fixture.pod("i-1", {{ok("served")}});
-        const auto most = limits::proxyLimits(fixture.machine, 2048).clientConnections;
-        std::deque<tcp::socket> slow;
-        for (std::size_t number = 0; number < most; ++number) {
-            slow.emplace_back(fixture.io).connect(fixture.clients->local_endpoint());
-            asio::write(slow.back(), asio::buffer(std::string("GET /read/1 HT")));
-            fixture.until([&] { return fixture.httpServer->openConnections() == number + 1; });
-            fixture.pollUntilIdle();
-        }
-        spawn(fixture.io, "close", closeLater(slow));
+        HttpServerFixture fixture("", 64 << 20, 20);
+        const auto slow = connectToTheLimit(fixture, "GET /read/1 HT");
+        bool oneWaited = false;
+        spawn(fixture.io, "close", closeOnceOneWaits(fixture, slow, oneWaited));
         const auto received = fixture.client(HttpServerFixture::get("a"), 1);
         CPPUNIT_ASSERT_MESSAGE(received, received.find("served") != std::string::npos);
+        CPPUNIT_ASSERT(oneWaited);
     }
 
     // DENIED: a limit beyond the parser's type was cut to its low bits, so that all headers were too long.
@@ -114,9 +103,29 @@
     }
 
   private:
-    static Task<> closeLater(std::deque<tcp::socket>& sockets) {
-        co_await sleep(30 * kMillisecond);
-        sockets.front().close();
+    using Sockets = std::shared_ptr<std::deque<tcp::socket>>;
+
+    // Opens as many connections as the server takes, and sends `bytes` on each.
+    static Sockets connectToTheLimit(HttpServerFixture& fixture, const std::string& bytes) {
+        constexpr std::size_t kHeaderLimit = 2048;  // of the fixture's configuration
+        fixture.pod("i-1", {{ok("served")}});
+        const auto most = limits::maxClientConnections(fixture.machine, kHeaderLimit);
+        auto sockets = std::make_shared<std::deque<tcp::socket>>();
+        while (sockets->size() < most) {
+            auto& socket = sockets->emplace_back(fixture.io);
+            socket.connect(fixture.clients->local_endpoint());
+            asio::write(socket, asio::buffer(bytes));
+            fixture.until([&] { return fixture.httpServer->openConnections() == sockets->size(); });
+            fixture.pollUntilIdle();
+        }
+        return sockets;
+    }
+
+    // Closes a connection once the next client has had time to be served. Sets `oneWaited` if it was not.
+    static Task<> closeOnceOneWaits(HttpServerFixture& fixture, Sockets sockets, bool& oneWaited) {
+        co_await sleep(50 * kMillisecond);
+        oneWaited = fixture.httpServer->openConnections() == sockets->size() && fixture.arrivals.empty();
+        sockets->front().close();
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(BufferLimitTest);
--- a/tests/routing/router.cpp
+++ b/tests/routing/router.cpp
@@ -14,15 +14,16 @@
 constexpr Nanos kMillisecond = 1'000'000, kSecond = 1000 * kMillisecond;
 
 std::shared_ptr<const config::Configuration> configurationOf(const std::string& version,
-                                                             const std::string& service = "s") {
+                                                             const std::string& service = "s",
+                                                             const std::string& maxConnections = "100") {
     std::string text = R"({"config_version":")" + version + R"(","resources":[)";
     for (const auto* kind : {"idempotent", "non_idempotent"})
         text += std::string(R"({"resource_type":"route_table","metadata":{"name":")") + kind +
                 R"("},"spec":{"hostname":"h","path_prefix":"/)" + kind + R"(/","route_class":")" + kind +
                 R"(","timeout":"2s","target_latency":"600ms","service_name":")" + service +
                 R"(","max_attempts":3}},)";
-    text += R"({"resource_type":"service_table","metadata":{"name":"s"},"spec":{"max_connections":100}},)"
-            R"({"resource_type":"service_table","metadata":{"name":"t"},"spec":{}}]})";
+    text += R"({"resource_type":"service_table","metadata":{"name":"s"},"spec":{"max_connections":)" +
+            maxConnections + R"(}},{"resource_type":"service_table","metadata":{"name":"t"},"spec":{}}]})";
     return std::make_shared<config::Configuration>(config::Configuration::parse(text));
 }
 
@@ -111,6 +112,7 @@
     CPPUNIT_TEST(cancelledAttemptsBackOffFromNoHost);
     CPPUNIT_TEST(cancelledAttemptsCountWithTheirTime);
     CPPUNIT_TEST(overloadedZoneSendsTrafficElsewhere);
+    CPPUNIT_TEST(hugeConnectionLimitIsNoSmallOne);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -574,5 +576,12 @@
         }
         CPPUNIT_ASSERT(canaryRequests <= 2);
     }
+
+    // A share above the range of int was undefined: the greatest one on arm64, the smallest on x86-64.
+    void hugeConnectionLimitIsNoSmallOne() {
+        RouterFixture fixture;
+        fixture.router->setConfiguration(configurationOf("00000002", "s", "1000000000000000"));
+        CPPUNIT_ASSERT_EQUAL(1 << 20, fixture.router->maxConnections(*fixture.router->hosts().at("p0")));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
--- a/tests/soak/heavy_clients.cpp
+++ b/tests/soak/heavy_clients.cpp
@@ -18,14 +18,6 @@
 
 }  // namespace
 
-long residentMegabytes(pid_t process) {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);)
-        if (line.starts_with("VmRSS:"))
-            return std::stol(line.substr(line.find_first_of("0123456789"))) / 1024;
-    return 0;
-}
-
 void HeavyClients::start() {
     ++running_;
     spawn(cluster_.io, "heavy clients", run());
--- a/tests/soak/heavy_clients.hpp
+++ b/tests/soak/heavy_clients.hpp
@@ -44,7 +44,4 @@
     bool stopping_ = false;
 };
 
-// The resident memory of a process, in megabytes; 0 if it has ended.
-long residentMegabytes(pid_t process);
-
 }  // namespace soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "soak/heavy_clients.hpp"
+#include "support/process_memory.hpp"
 
 namespace soak {
 namespace {
@@ -235,7 +236,7 @@
 
     void checkMemory(const std::string& name, const Program& program) {
         if (program.id <= 0) return;
-        const auto resident = residentMegabytes(program.id);
+        const auto resident = process_memory::megabytes(program.id, "VmRSS");
         highestResident_ = std::max(highestResident_, resident);
         if (resident > kMemoryMegabytes && overMemory_.insert(name).second)
             ledger_.violate("FAULT", name + " has " + std::to_string(resident) + " MB");
