--- a/tests/integration/memory_limit.cpp
+++ b/tests/integration/memory_limit.cpp
@@ -4,6 +4,7 @@
 
 #include "support/cluster_fixture.hpp"
 #include "support/process_memory.hpp"
+#include "support/silent_clients.hpp"
 
 using namespace cluster;
 
@@ -12,57 +13,6 @@
 constexpr long kControlPlaneMegabytes = 256;
 constexpr long kProxyMegabytes = 260;
 
-// Raises the soft limit of this process on descriptors to the hard limit, for many clients at once.
-void raiseDescriptorLimit() {
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 8192);
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
-
-// Clients that send bytes until the receiver takes no more, and read nothing.
-class SilentClients {
-  public:
-    explicit SilentClients(std::string address) : address_(std::move(address)) {}
-
-    void connect(std::size_t count) {
-        for (std::size_t number = 0; number < count; ++number) {
-            auto& socket = sockets_.emplace_back(io_);
-            ErrorCode code;
-            socket.connect(parseAddress(address_), code);
-            if (!code) socket.non_blocking(true, code);
-        }
-        sent_.assign(sockets_.size(), 0);
-    }
-    // Sends `bytes` on each connection, until none of them has taken any for kQuietTime. `pump` runs the
-    // caller's event loop meanwhile.
-    template <typename Pump>
-    void send(const std::string& bytes, Pump pump) {
-        constexpr Nanos kQuietTime = kSecond;
-        for (Nanos progressAt = now(); now() - progressAt < kQuietTime; pump())
-            if (sendSome(bytes)) progressAt = now();
-    }
-    void close() { sockets_.clear(); }
-
-  private:
-    bool sendSome(const std::string& bytes) {
-        bool progress = false;
-        for (std::size_t client = 0; client < sockets_.size(); ++client) {
-            const auto rest = asio::buffer(bytes) + sent_[client];
-            ErrorCode code;
-            const auto written = rest.size() > 0 ? sockets_[client].write_some(rest, code) : 0;
-            sent_[client] += written;
-            progress = progress || written > 0;
-        }
-        return progress;
-    }
-
-    asio::io_context io_{1};
-    std::string address_;
-    std::deque<tcp::socket> sockets_;
-    std::vector<std::size_t> sent_;
-};
-
 }  // namespace
 
 class MemoryLimitTest : public CppUnit::TestFixture {
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -34,6 +34,22 @@
     int status = -1;          ///< as waitpid() returned it
 };
 
+// A response that does not end: its first bytes, and what follows again and again.
+struct EndlessResponse {
+    std::string begin, repeated;
+    std::size_t bytes = 0;  // at most, on one connection
+};
+
+// `socket` and `response` must outlive the call.
+inline Task<> sendEndless(tcp::socket& socket, const EndlessResponse& response) {
+    ErrorCode code;
+    co_await asio::async_write(socket, asio::buffer(response.begin), withErrorCode(code));
+    std::string block;
+    while (block.size() < 64 << 10) block += response.repeated;
+    for (std::size_t sent = 0; !code && sent < response.bytes; sent += block.size())
+        co_await asio::async_write(socket, asio::buffer(block), withErrorCode(code));
+}
+
 class Cluster {
   public:
     Cluster() {
@@ -46,13 +62,17 @@
         for (auto* port : {&front, &probe}) *port = freePort(ip("e1"));
         platform = std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0"));
         lichenlanding::transport::spawn(
-            io, "platform", accept(*platform, [this](const auto& request) { return list(request); }));
+            io, "platform",
+            accept(
+                *platform, [this](const auto& request) { return list(request); }, platformResponse));
         for (const auto* name : {"i-1", "i-2"}) {
             podAcceptors.push_back(std::make_unique<tcp::acceptor>(listen(io, "127.0.0.1:0")));
             pods[name] = "127.0.0.1:" + std::to_string(podAcceptors.back()->local_endpoint().port());
             lichenlanding::transport::spawn(
                 io, "pod",
-                accept(*podAcceptors.back(), [this](const auto& request) { return serve(request); }));
+                accept(
+                    *podAcceptors.back(), [this](const auto& request) { return serve(request); },
+                    podResponse));
         }
     }
     ~Cluster() {
@@ -178,6 +198,14 @@
         while (!done) CPPUNIT_ASSERT(io.run_one_for(std::chrono::seconds(15)) > 0);
         return answer;
     }
+    // Sends `bytes` on a new connection and returns the status of the response, or 0 if there is none.
+    int send(const std::string& address, const std::string& bytes) {
+        int status = 0;
+        bool done = false;
+        lichenlanding::transport::spawn(io, "send", exchange(address, bytes, status, done));
+        while (!done) CPPUNIT_ASSERT(io.run_one_for(std::chrono::seconds(15)) > 0);
+        return status;
+    }
     // Sends a POST as a coroutine; returns its status, or 0 if there is no response.
     Task<int> callAsync(std::string address, std::string target, std::string body) {
         std::pair<int, std::string> answer{0, ""};
@@ -231,6 +259,8 @@
     std::map<char, long> memoryMegabytes;  // `memory_mb` of control nodes ('c') and proxies ('e')
     int maxDescriptors = 0;                // `max_fds`; 0: not in the settings
     bool podsHang = false;                 // pods read requests and do not respond
+    std::string podField;                  // the value of a further field of pods' responses; empty: none
+    std::optional<EndlessResponse> podResponse, platformResponse;  // instead of the ordinary ones
     std::unique_ptr<tcp::acceptor> platform;
     std::vector<std::unique_ptr<tcp::acceptor>> podAcceptors;
     std::map<std::string, std::string> pods;  // address by instance id
@@ -258,24 +288,35 @@
         return "served";
     }
     Task<> accept(tcp::acceptor& acceptor,
-                  std::function<Json(const http::request<http::string_body>&)> handle) {
+                  std::function<Json(const http::request<http::string_body>&)> handle,
+                  const std::optional<EndlessResponse>& endless) {
         for (;;) {
             ErrorCode code;
             auto socket = co_await acceptor.async_accept(withErrorCode(code));
             if (code) co_return;
-            lichenlanding::transport::spawn(io, "connection", answer(std::move(socket), handle));
+            lichenlanding::transport::spawn(io, "connection", answer(std::move(socket), handle, endless));
         }
     }
-    Task<> answer(tcp::socket socket, std::function<Json(const http::request<http::string_body>&)> handle) {
+    Task<> answer(tcp::socket socket, std::function<Json(const http::request<http::string_body>&)> handle,
+                  const std::optional<EndlessResponse>& endless) {
         beast::flat_buffer buffer;
         for (;;) {
-            http::request<http::string_body> request;
+            constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+            http::request_parser<http::string_body> parser;
+            parser.header_limit(kMaxHeaderBytes);
             ErrorCode code;
-            co_await http::async_read(socket, buffer, request, withErrorCode(code));
+            co_await http::async_read(socket, buffer, parser, withErrorCode(code));
             if (code) co_return;
+            const auto request = parser.release();
+            if (endless) {
+                const auto copy = *endless;
+                co_await sendEndless(socket, copy);
+                co_return;
+            }
             http::response<http::string_body> response(http::status::ok, 11);
             response.set("X-Attempt-Id", request["X-Attempt-Id"]);
             response.set("X-Response-Seal", "seal");
+            if (!podField.empty()) response.set("X-Further", podField);
             response.body() = handle(request).dump();
             while (podsHang) co_await sleep(20 * kMillisecond);
             response.prepare_payload();
@@ -297,6 +338,18 @@
             program.lines.push_back(read.is_object() ? std::move(read) : Json{{"text", line}});
         }
     }
+    Task<> exchange(std::string address, std::string bytes, int& status, bool& done) {
+        beast::tcp_stream stream(io);
+        stream.expires_after(std::chrono::seconds(3));
+        ErrorCode code;
+        co_await stream.async_connect(parseAddress(address), withErrorCode(code));
+        if (!code) co_await asio::async_write(stream, asio::buffer(bytes), withErrorCode(code));
+        beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        if (!code) co_await http::async_read(stream, buffer, response, withErrorCode(code));
+        if (!code) status = static_cast<int>(response.result_int());
+        done = true;
+    }
     Task<> ask(std::string address, http::verb method, std::string target, std::string body, std::string id,
                std::pair<int, std::string>& answer, bool& done) {
         beast::tcp_stream stream(io);
--- a/tests/support/process_memory.hpp
+++ b/tests/support/process_memory.hpp
@@ -1,8 +1,9 @@
-// The memory of a process, as the system reports it.
+// The memory and the descriptors of a process, as the system reports them.
 #pragma once
 
 #include <sys/types.h>
 
+#include <filesystem>
 #include <fstream>
 #include <string>
 
@@ -19,4 +20,11 @@
     return -1;
 }
 
+// The number of open descriptors; -1 if the process has ended.
+inline long descriptors(pid_t process) {
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(process) + "/fd", error);
+    return error ? -1 : std::distance(begin(open), end(open));
+}
+
 }  // namespace process_memory
