--- a/src/limits/process_limits.hpp
+++ b/src/limits/process_limits.hpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kMaxClientHeaderBytes = 256 << 10;
 /// The part of a body that each request may buffer without a share of proxyBufferBytes().
 constexpr std::size_t kUnsharedBodyBytes = 16 << 10;
+/// The part of the memory of a message's parsed fields that needs no such share, beside max_header_bytes.
+constexpr std::size_t kUnsharedFieldBytes = 16 << 10;
 /// What a request in progress takes in addition to its header and its body.
 constexpr std::size_t kRequestOverheadBytes = 24 << 10;
 
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -30,6 +30,11 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+FieldLimits requestFieldLimits(std::size_t headerBytes) {
+    constexpr std::size_t kCopies = 3;  // as parsed, in the request, and as sent to a pod
+    return {headerBytes, headerBytes + limits::kUnsharedFieldBytes, kCopies};
+}
+
 }  // namespace
 
 config::ClientLimits clientLimits(const routing::Router& router) {
@@ -195,10 +200,10 @@
 Task<> ClientConnection::readRequest(IncomingRequest& incoming) {
     // Read at the start of the request: the limits may have changed while the connection was idle.
     const auto limits = clientLimits(server_.router);
-    incoming.parser = std::make_shared<RequestParser>();
+    incoming.parser = std::make_shared<RequestParser>(requestFieldLimits(headerLimit(limits)),
+                                                      limits::MemoryBudget::Share(server_.buffers));
     auto& parser = *incoming.parser;
-    parser.header_limit(static_cast<std::uint32_t>(headerLimit(limits)));
-    buffer.max_size(std::max(buffer.size(), headerLimit(limits)) + kBodyBlockBytes);
+    limitReadBuffer(buffer, headerLimit(limits));
     parser.body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
     readDeadline = now() + limits.headerTimeout;
     co_await http::async_read_header(socket, buffer, parser, withErrorCode(incoming.error));
@@ -212,15 +217,14 @@
         incoming.error = co_await readBodyBlock(socket, buffer, parser, incoming.body);
 }
 
-// A connection's only request has its memory without a share.
+// A connection's only request has its memory without a share, but for an excess of fields.
 void ClientConnection::accountForHeader(IncomingRequest& incoming) {
+    incoming.fieldMemory = incoming.parser->takeMemory();
     incoming.handlingMemory = limits::MemoryBudget::Share(server_.buffers);
     incoming.bodyMemory = limits::MemoryBudget::Share(server_.buffers);
     if (requests_.empty()) return;
-    std::size_t headerBytes = 0;
-    for (const auto& field : incoming.parser->get())
-        headerBytes += field.name_string().size() + field.value().size();
-    incoming.handlingMemory.resizeUnconditionally(headerBytes + limits::kRequestOverheadBytes);
+    const auto unsharedBytes = incoming.parser->fieldBytes() - incoming.fieldMemory.bytes();
+    incoming.handlingMemory.resizeUnconditionally(unsharedBytes + limits::kRequestOverheadBytes);
 }
 
 // Sends 100 Continue after the responses to all earlier requests.
@@ -247,6 +251,7 @@
     if (!error) detail = LocalReplyDetail::ambiguousRequest;
     else if (timedOut_ && !closed_) detail = LocalReplyDetail::requestTimeout;
     else if (error == http::error::header_limit) detail = LocalReplyDetail::headerTooLarge;
+    else if (error == boost::system::errc::not_enough_memory) detail = LocalReplyDetail::overloaded;
     else if (error == http::error::body_limit) detail = LocalReplyDetail::bodyTooLarge;
     else if (isSyntaxError(error)) detail = LocalReplyDetail::unreadableRequest;
     else return false;
@@ -263,6 +268,7 @@
     auto request = std::make_shared<RequestContext>();
     request->request = Request(http::request_header<>(parser->get().base()));
     request->request.body() = std::move(incoming.body);
+    request->fieldMemory = std::move(incoming.fieldMemory);
     request->handlingMemory = std::move(incoming.handlingMemory);
     request->requestMemory = std::move(incoming.bodyMemory);
     request->closesConnection = !request->request.keep_alive() || (server_.draining && server_.closingIdle);
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -78,7 +78,7 @@
     struct IncomingRequest {
         std::shared_ptr<RequestParser> parser;
         std::string body;
-        limits::MemoryBudget::Share handlingMemory, bodyMemory;
+        limits::MemoryBudget::Share fieldMemory, handlingMemory, bodyMemory;
         transport::ErrorCode error;
     };
 
--- a/src/proxy/request_context.hpp
+++ b/src/proxy/request_context.hpp
@@ -1,19 +1,18 @@
 /// The state of one client request from its receipt to its response.
 #pragma once
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 #include "proxy/upstream.hpp"
+#include "transport/bounded_parser.hpp"
 
 namespace lichenlanding::proxy {
 
-using RequestParser = http::request_parser<http::buffer_body>;
+using RequestParser = transport::BoundedParser<true>;
 
 /// Shared by the connection, which reads the request and writes the response, and the request's handler. Used
 /// from one thread: the proxy's event loop.
 struct RequestContext {
     Request request;
+    limits::MemoryBudget::Share fieldMemory;     ///< for the fields of `request`
     limits::MemoryBudget::Share handlingMemory;  ///< for the header of `request`, and for its handling
     limits::MemoryBudget::Share requestMemory;   ///< for the body of `request`
     Response response;
--- a/src/routing/local_reply.cpp
+++ b/src/routing/local_reply.cpp
@@ -26,6 +26,8 @@
             return {413, "body is larger than max_body_bytes"};
         case LocalReplyDetail::headerTooLarge:
             return {431, "header is larger than max_header_bytes"};
+        case LocalReplyDetail::overloaded:
+            return {503, "too many requests are in progress"};
         case LocalReplyDetail::noConfiguration:
             return {503, "no configuration yet"};
         case LocalReplyDetail::clientGone:
--- a/src/routing/local_reply.hpp
+++ b/src/routing/local_reply.hpp
@@ -17,6 +17,7 @@
     requestTimeout,     ///< 408: not read within the limits of the configuration
     bodyTooLarge,       ///< 413: over max_body_bytes
     headerTooLarge,     ///< 431: over max_header_bytes
+    overloaded,         ///< 503: the memory for requests in progress is used up
     noConfiguration,    ///< 503: the proxy has not received a configuration yet
     clientGone,  ///< 503: found after a standstill of the process: the client closed the connection; nothing
                  ///< was sent
--- a/tests/integration/hostile_sidecar_clients.cpp
+++ b/tests/integration/hostile_sidecar_clients.cpp
@@ -140,8 +140,7 @@
             co_await http::async_read(socket, buffer, request, withErrorCode(code));
             if (code) co_return;
             if (podResponse) {
-                const auto endless = *podResponse;
-                co_await sendEndless(socket, endless);
+                co_await sendEndless(socket, podResponse->begin, podResponse->repeated, podResponse->bytes);
                 co_return;
             }
             http::response<http::string_body> response(http::status::ok, 11);
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -40,13 +40,13 @@
     std::size_t bytes = 0;  // at most, on one connection
 };
 
-// `socket` and `response` must outlive the call.
-inline Task<> sendEndless(tcp::socket& socket, const EndlessResponse& response) {
+// `socket` must outlive the call.
+inline Task<> sendEndless(tcp::socket& socket, std::string begin, std::string repeated, std::size_t bytes) {
     ErrorCode code;
-    co_await asio::async_write(socket, asio::buffer(response.begin), withErrorCode(code));
+    co_await asio::async_write(socket, asio::buffer(begin), withErrorCode(code));
     std::string block;
-    while (block.size() < 64 << 10) block += response.repeated;
-    for (std::size_t sent = 0; !code && sent < response.bytes; sent += block.size())
+    while (block.size() < 64 << 10) block += repeated;
+    for (std::size_t sent = 0; !code && sent < bytes; sent += block.size())
         co_await asio::async_write(socket, asio::buffer(block), withErrorCode(code));
 }
 
@@ -309,8 +309,7 @@
             if (code) co_return;
             const auto request = parser.release();
             if (endless) {
-                const auto copy = *endless;
-                co_await sendEndless(socket, copy);
+                co_await sendEndless(socket, endless->begin, endless->repeated, endless->bytes);
                 co_return;
             }
             http::response<http::string_body> response(http::status::ok, 11);
