Proxy: what a pod sends beside the body is bounded (FAULT)

Callers saw: pods whose responses ended in trailers, a chunk size or a chunk extension without end brought a proxy of 64 MB to 319 MB.

Cause: the read buffer of a connection to a pod had no limit; Beast keeps a chunk header or trailers in it until they are complete.

The buffer is limited to 64 KiB and a block of a body, the fields to 64 KiB of text; what their memory is beyond 16 KiB needs a share of the buffers, until the response is written. 16 interim responses are read, then the attempt is malformed.

--- a/src/proxy/request_context.hpp
+++ b/src/proxy/request_context.hpp
@@ -16,10 +16,11 @@
     limits::MemoryBudget::Share handlingMemory;  ///< for the header of `request`, and for its handling
     limits::MemoryBudget::Share requestMemory;   ///< for the body of `request`
     Response response;
-    limits::MemoryBudget::Share responseMemory;  ///< for the body of `response`
-    bool responseReady = false;                  ///< `response` (and `unreadResponse`) may be written
-    bool closesConnection = false;               ///< the connection is closed after this response
-    bool omitsResponseBody = false;              ///< HEAD: the response has no body
+    limits::MemoryBudget::Share responseFieldMemory;  ///< for the fields of `response`
+    limits::MemoryBudget::Share responseMemory;       ///< for the body of `response`
+    bool responseReady = false;                       ///< `response` (and `unreadResponse`) may be written
+    bool closesConnection = false;                    ///< the connection is closed after this response
+    bool omitsResponseBody = false;                   ///< HEAD: the response has no body
     /// For a request body that is too large to buffer: the parser that reads the rest; `request` holds the
     /// first part. Null for others.
     std::shared_ptr<RequestParser> upload;
@@ -34,7 +35,8 @@
 
     /// Frees the memory of the response once it is written: attempts that are still running keep the request.
     void releaseResponse() {
-        response.body() = std::string();
+        response = Response();
+        responseFieldMemory.release();
         responseMemory.release();
     }
 };
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -275,6 +275,7 @@
 void RequestHandler::respond(UpstreamRequest& call) {
     ++server_.stats.served;
     request_->unreadResponse = std::move(call.unread);
+    request_->responseFieldMemory = std::move(call.responseFieldMemory);
     request_->responseMemory = std::move(call.responseMemory);
     request_->response = std::move(call.response);
     connection_->onResponseReady(request_);
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -18,7 +18,11 @@
 // Effectively unlimited: bodies above kMaxBufferedBody are streamed.
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{1} << 40;
 constexpr int kMaxMismatchedResponses = 2;  // skipped while looking for the matching one
-constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr int kMaxInterimResponses = 16;    // before a final one
+constexpr std::size_t kMaxHeaderBytes = 64 << 10;
+constexpr std::size_t kFieldCopies = 2;  // as parsed, and in the response
+// Connections with less are kept with their read buffer.
+constexpr std::size_t kMaxIdleBufferBytes = 4096;
 // A connection is closed if the host acknowledges no byte for this long.
 constexpr Nanos kPeerTimeout = 3 * kSecond;
 
@@ -101,6 +105,12 @@
     abort();
 }
 
+UpstreamConnection::UpstreamConnection(asio::io_context& io, std::shared_ptr<routing::UpstreamHost> to)
+    : socket(io), host(std::move(to)) {
+    ++host->connections;
+    limitReadBuffer(buffer, kMaxHeaderBytes);
+}
+
 // ---- The pool of idle connections. ----
 
 std::shared_ptr<UpstreamConnection> UpstreamClient::takeIdle(const routing::UpstreamHost& host,
@@ -121,6 +131,7 @@
 
 void UpstreamClient::putIdle(std::shared_ptr<UpstreamConnection> connection) {
     connection->idleSince = now();
+    if (connection->buffer.capacity() > kMaxIdleBufferBytes) connection->buffer.shrink_to_fit();
     auto& pool = pools_[connection->host->endpoint.id];
     pool.host = connection->host;
     pool.idle.push_back(std::move(connection));
@@ -220,9 +231,9 @@
 // Reads one final response: the whole, or its first part with the rest to follow.
 Task<ErrorCode> UpstreamClient::readResponse(std::shared_ptr<UpstreamRequest> call, bool headOnly) {
     const auto connection = call->connection;
-    for (;;) {
-        auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
-        parser->header_limit(kMaxHeaderBytes);
+    const FieldLimits fieldLimits{kMaxHeaderBytes, limits::kUnsharedFieldBytes, kFieldCopies};
+    for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+        auto parser = std::make_unique<ResponseParser>(fieldLimits, limits::MemoryBudget::Share(buffers_));
         parser->body_limit(kMaxResponseBytes);
         parser->skip(headOnly);
         ErrorCode error;
@@ -231,6 +242,7 @@
         if (error) co_return error;
         if (parser->get().result_int() / 100 == 1) continue;  // an interim response has no body
         std::string body;
+        call->responseFieldMemory = parser->takeMemory();
         call->responseMemory = limits::MemoryBudget::Share(buffers_);
         while (!parser->is_done() && mayBufferMore(body, call->responseMemory)) {
             error = co_await readBodyBlock(connection->socket, connection->buffer, *parser, body);
@@ -243,6 +255,7 @@
             call->unread = std::make_unique<UnreadBody>(UnreadBody{connection, std::move(parser)});
         co_return ErrorCode{};
     }
+    co_return http::error::unexpected_body;
 }
 
 // Returns the connection to the pool, closes it, or leaves it open for the reader of the remaining body.
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -3,9 +3,7 @@
 /// io_context.
 #pragma once
 
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <functional>
@@ -14,6 +12,7 @@
 #include "limits/memory_budget.hpp"
 #include "limits/process_limits.hpp"
 #include "routing/router.hpp"
+#include "transport/bounded_parser.hpp"
 #include "transport/event_loop.hpp"
 
 namespace lichenlanding::proxy {
@@ -26,10 +25,7 @@
 
 /// One connection to a host. While it exists, it is counted in UpstreamHost::connections.
 struct UpstreamConnection {
-    UpstreamConnection(asio::io_context& io, std::shared_ptr<routing::UpstreamHost> to)
-        : socket(io), host(std::move(to)) {
-        ++host->connections;
-    }
+    UpstreamConnection(asio::io_context& io, std::shared_ptr<routing::UpstreamHost> to);
     ~UpstreamConnection() { --host->connections; }
     UpstreamConnection(const UpstreamConnection&) = delete;
     transport::tcp::socket socket;
@@ -46,10 +42,12 @@
 /// Whether the next block of a body may be buffered behind `body`; takes the memory for it.
 bool mayBufferMore(const std::string& body, limits::MemoryBudget::Share& memory);
 
+using ResponseParser = transport::BoundedParser<false>;
+
 /// The part of a host's response that has not been read yet.
 struct UnreadBody {
     std::shared_ptr<UpstreamConnection> connection;
-    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+    std::unique_ptr<ResponseParser> parser;
 };
 
 /// Writes the part of a request body that follows the buffered one to the host.
@@ -63,7 +61,8 @@
     /// How the attempt ended; valid once call() has returned.
     routing::AttemptEvent end = routing::AttemptEvent::unreached;
     Response response;
-    limits::MemoryBudget::Share responseMemory;  ///< for the body of `response`
+    limits::MemoryBudget::Share responseFieldMemory;  ///< for the fields of `response`
+    limits::MemoryBudget::Share responseMemory;       ///< for the body of `response`
     std::unique_ptr<UnreadBody> unread;  ///< the rest of a response that is too large to buffer; null: none
     bool aborted = false;
     /// The end to report if the attempt is aborted.
