--- a/src/control_plane/admin_server.cpp
+++ b/src/control_plane/admin_server.cpp
@@ -16,16 +16,22 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr std::size_t kMaxHeaderBytes = 64 << 10;
+constexpr std::size_t kFieldCopies = 2;  // as parsed, and in the request
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr Nanos kRejectTimeout = kSecond;
 constexpr Nanos kAcceptPause = 20 * kMillisecond;
 
+AdminResponse tooManyRequestsResponse() {
+    return retryLaterResponse("memory: too many requests are being received");
+}
+
 /// The response to a request that could not be received. Null if the request was truncated or timed out, so
 /// that no client is waiting for a response.
 std::optional<AdminResponse> rejectionOf(const ErrorCode& code) {
     if (code == http::error::body_limit) return errorResponse(413, code.message());
     if (code == http::error::header_limit) return errorResponse(431, code.message());
+    if (code == boost::system::errc::not_enough_memory) return tooManyRequestsResponse();
     const bool malformed = code.category() == http::make_error_code(http::error::bad_method).category() &&
                            code != http::error::end_of_stream && code != http::error::partial_message;
     if (malformed) return errorResponse(400, code.message());
@@ -40,6 +46,10 @@
 
 }  // namespace
 
+AdminServer::Connection::Connection(tcp::socket socket) : stream(std::move(socket)) {
+    limitReadBuffer(buffer, kMaxHeaderBytes);
+}
+
 Task<> AdminServer::serve(tcp::acceptor& acceptor) {
     while (acceptor.is_open()) {
         ErrorCode code;
@@ -107,12 +117,12 @@
 /// request that could not be received.
 Task<std::optional<AdminResponse>> AdminServer::answerNext(Connection& connection) {
     Received received;
-    received.memory = limits::MemoryBudget::Share(received_);
+    received.bodyMemory = limits::MemoryBudget::Share(received_);
     const auto code = co_await receive(connection, received);
     if (code && !received.rejection) received.rejection = rejectionOf(code);
     if (received.rejection) {
         received.request.body() = std::string();
-        received.memory.release();
+        received.bodyMemory.release();
         co_await rejectAndClose(connection, *received.rejection);
     }
     if (code || received.rejection) co_return std::nullopt;
@@ -137,9 +147,11 @@
 }
 
 Task<ErrorCode> AdminServer::receive(Connection& connection, Received& received) {
-    Parser parser;
+    const FieldLimits fieldLimits{kMaxHeaderBytes, kMaxHeaderBytes, kFieldCopies};
+    Parser parser(fieldLimits, limits::MemoryBudget::Share(received_));
     auto code = co_await receiveHeader(connection, parser);
     if (!code) {
+        received.fieldMemory = parser.takeMemory();
         received.request = AdminRequest(http::request_header<>(parser.get().base()));
         code = co_await receiveBody(connection, parser, received);
     }
@@ -150,7 +162,6 @@
     auto& stream = connection.stream;
     connection.enterPhase(Phase::receiving);
     parser.body_limit(limits_.bodyBytes);
-    parser.header_limit(kMaxHeaderBytes);
     ErrorCode code;
     stream.expires_after(toDuration(limits_.header));
     co_await http::async_read_header(stream, connection.buffer, parser, withErrorCode(code));
@@ -169,9 +180,9 @@
     ErrorCode code;
     while (!code && !parser.is_done()) {
         code = co_await readBodyBlock(connection.stream, connection.buffer, parser, body);
-        if (code || holds(received.memory, body.capacity())) continue;
+        if (code || holds(received.bodyMemory, body.capacity())) continue;
         log("admin_request_refused", {{"step", "receive"}, {"bytes", received_.used()}});
-        received.rejection = retryLaterResponse("memory: too many requests are being received");
+        received.rejection = tooManyRequestsResponse();
         co_return code;
     }
     co_return code;
--- a/src/control_plane/admin_server.hpp
+++ b/src/control_plane/admin_server.hpp
@@ -2,12 +2,8 @@
 // connections and a limit on the memory that requests and responses take.
 #pragma once
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 #include "control_plane/admin_api.hpp"
-#include "limits/memory_budget.hpp"
-#include "transport/event_loop.hpp"
+#include "transport/bounded_parser.hpp"
 
 namespace lichenlanding::control_plane {
 
@@ -54,17 +50,17 @@
         transport::beast::flat_buffer buffer;
         Phase phase = Phase::idle;
         Nanos since = 0;  // start of the phase
-        explicit Connection(transport::tcp::socket socket) : stream(std::move(socket)) {}
+        explicit Connection(transport::tcp::socket socket);
         void enterPhase(Phase next) {
             phase = next;
             since = transport::now();
         }
     };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+    using Parser = transport::BoundedParser<true>;
     /// A request as far as it was received. `rejection` is set if it is to be answered without being handled.
     struct Received {
         AdminRequest request;
-        limits::MemoryBudget::Share memory;
+        limits::MemoryBudget::Share fieldMemory, bodyMemory;
         std::optional<AdminResponse> rejection;
     };
 
