Proxy: what probes may send is bounded (FAULT)

Callers saw: clients of the readiness address that sent trailers or a chunk header without end brought a proxy of 64 MB to 340 MB.

Cause: as for admin requests, a read buffer without a limit. It holds 8 KiB of header and a block now, and the parser counts the header as a whole.

--- a/src/proxy/readiness_server.cpp
+++ b/src/proxy/readiness_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/write.hpp>
 #include <list>
 
+#include "transport/bounded_parser.hpp"
 #include "transport/log.hpp"
 
 namespace lichenlanding::proxy {
@@ -15,6 +16,7 @@
 
 // Probes come one at a time; more connections than this are of clients that don't end theirs.
 constexpr std::size_t kMaxConnections = 32;
+constexpr std::size_t kMaxHeaderBytes = 8 << 10;
 
 using Stream = std::shared_ptr<beast::tcp_stream>;
 using Streams = std::list<Stream>;  // in order of arrival
@@ -22,15 +24,16 @@
 Task<> serveProbes(Stream stream, std::function<bool()> ready, Nanos timeout) {
     beast::flat_buffer buffer;
     for (;;) {
-        http::request<http::empty_body> request;
+        BoundedParser<true, http::empty_body> parser({kMaxHeaderBytes});
         ErrorCode code;
+        limitReadBuffer(buffer, kMaxHeaderBytes);
         stream->expires_after(toDuration(timeout));
-        co_await http::async_read(*stream, buffer, request, withErrorCode(code));
+        co_await http::async_read(*stream, buffer, parser, withErrorCode(code));
         if (code) co_return;
         http::response<http::empty_body> response(
             ready() ? http::status::ok : http::status::service_unavailable, 11);
         response.content_length(0);
-        response.keep_alive(request.keep_alive());
+        response.keep_alive(parser.get().keep_alive());
         co_await http::async_write(*stream, response, withErrorCode(code));
         if (code || !response.keep_alive()) co_return;
     }
