Control node: responses of the platform are bounded by its memory (FAULT)

Callers saw: a platform that answered with trailers without end brought a control node of 64 MB to 518 MB within 0.7 s.

Cause: a read buffer without a limit, and bodies of 96 MiB whatever the memory. The buffer holds 64 KiB of header and a block; a page of the list may have a sixteenth of the memory (16 MiB of 256; 15,000 pods take 4). `status` reads within the same limits. The tree that a page expands to is not bounded beyond that.

--- a/src/command/status.cpp
+++ b/src/command/status.cpp
@@ -6,7 +6,7 @@
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 
-#include "transport/event_loop.hpp"
+#include "transport/bounded_parser.hpp"
 
 namespace lichenlanding::command {
 namespace {
@@ -23,9 +23,12 @@
     request.set(http::field::host, address);
     request.content_length(0);
     co_await http::async_write(stream, request, asio::use_awaitable);
+    constexpr std::size_t kMaxHeaderBytes = 64 << 10;
+    BoundedParser<false, http::string_body> parser({kMaxHeaderBytes});
     beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    co_await http::async_read(stream, buffer, response, asio::use_awaitable);
+    limitReadBuffer(buffer, kMaxHeaderBytes);
+    co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    const auto response = parser.release();
     if (response.result_int() != 200)
         throw std::runtime_error("HTTP status " + std::to_string(response.result_int()));
     body = response.body();
--- a/src/control_plane/endpoint_list_client.cpp
+++ b/src/control_plane/endpoint_list_client.cpp
@@ -4,7 +4,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "limits/process_limits.hpp"
 #include "messages/codec.hpp"
+#include "transport/bounded_parser.hpp"
 
 namespace lichenlanding::control_plane {
 
@@ -15,7 +17,7 @@
 
 constexpr Nanos kRequestTimeout = 700 * kMillisecond;
 constexpr Nanos kSilenceTimeout = 2 * kSecond;
-constexpr std::uint64_t kMaxBodyBytes = 96 << 20;
+constexpr std::size_t kMaxHeaderBytes = 64 << 10;
 
 // Path, parameter and fields of the platform's API.
 constexpr const char* kPath = "/instances";
@@ -36,7 +38,12 @@
 }
 
 EndpointListClient::EndpointListClient(asio::io_context& io, const config::BootstrapSettings& boot)
-    : io_(io), boot_(boot), stream_(std::make_unique<beast::tcp_stream>(io)) {}
+    : io_(io),
+      boot_(boot),
+      maxBodyBytes_(limits::controlPlaneLimits(
+                        limits::MachineLimits::fromSettings(boot.memoryMegabytes, boot.maxDescriptors))
+                        .bodyBytes),
+      stream_(std::make_unique<beast::tcp_stream>(io)) {}
 
 Task<EndpointListClient::Response> EndpointListClient::requestPage(const std::string& token) {
     stream_->expires_after(toDuration(kRequestTimeout));
@@ -50,8 +57,9 @@
         http::verb::get, token.empty() ? std::string(kPath) : kPath + (kTokenParameter + token), 11);
     request.set(http::field::host, boot_.platformAddress);
     co_await http::async_write(*stream_, request, asio::use_awaitable);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxBodyBytes);
+    BoundedParser<false, http::string_body> parser({kMaxHeaderBytes});
+    limitReadBuffer(buffer_, kMaxHeaderBytes);
+    parser.body_limit(maxBodyBytes_);
     co_await http::async_read(*stream_, buffer_, parser, asio::use_awaitable);
     auto response = parser.release();
     if (!response.keep_alive()) {
--- a/src/control_plane/endpoint_list_client.hpp
+++ b/src/control_plane/endpoint_list_client.hpp
@@ -40,6 +40,7 @@
   private:
     transport::asio::io_context& io_;
     const config::BootstrapSettings& boot_;
+    const std::uint64_t maxBodyBytes_;  // of a page
     std::unique_ptr<transport::beast::tcp_stream> stream_;
     transport::beast::flat_buffer buffer_;
     bool connected_ = false;
