Bodies: chunk headers are bounded by the body

A client could send chunk extensions for as long as it liked: each chunk of one byte may carry 16 KiB of them, and max_body_bytes counts the byte. No memory grows by it; the connection and a share of the event loop were held without end, since a client that always has bytes under way is never overdue.

--- a/src/transport/body_reader.hpp
+++ b/src/transport/body_reader.hpp
@@ -20,8 +20,8 @@
     return left && *left <= kBodyBlockBytes ? static_cast<std::size_t>(*left) + 1 : kBodyBlockBytes;
 }
 
-/// Reads the next block of a body and appends it to `body`. Returns the connection's error, if any. All
-/// arguments must outlive the call.
+/// Reads the next block of a body and appends it to `body`. Returns the connection's error, if any, or the
+/// parser's (BoundedParser::countBody). All arguments must outlive the call.
 template <typename Stream, typename Parser>
 Task<ErrorCode> readBodyBlock(Stream& stream, beast::flat_buffer& buffer, Parser& parser, std::string& body) {
     const auto offset = body.size();
@@ -29,9 +29,10 @@
     parser.get().body().data = body.data() + offset;
     parser.get().body().size = body.size() - offset;
     ErrorCode error;
-    co_await beast::http::async_read(stream, buffer, parser, withErrorCode(error));
+    const auto parsed = co_await beast::http::async_read(stream, buffer, parser, withErrorCode(error));
     body.resize(body.size() - parser.get().body().size);
     if (error == beast::http::error::need_buffer) error = {};
+    if (!error) error = parser.countBody(parsed, body.size() - offset);
     co_return error;
 }
 
