Peers: a connection is bounded until it has said who it is (FAULT)

Callers saw, each from whoever reaches the internal address: 60 KB that expand to a list of 14 million values brought a proxy and a control node of 64 MB to 660 MB; fields without end in the request for an upgrade, 151 MB; 800 connections that only kept alive took all of 700 descriptors.

Cause: accepted connections had the limits of known peers, and any number. Beast's accept reads the request with the same gap in its header limit as elsewhere.

Until the owner has set a connection's kind (by its hello): messages of 1 MiB, received and expanded; 2.1 s; 256 connections at the same time, further ones wait in the backlog. The upgrade is read by BoundedParser. Peers that have said hello are trusted as before.

--- a/src/control_plane/control_plane.cpp
+++ b/src/control_plane/control_plane.cpp
@@ -135,6 +135,7 @@
 std::shared_ptr<PeerConnection::Callbacks> ControlPlane::makeConnectionCallbacks() {
     auto callbacks = std::make_shared<PeerConnection::Callbacks>();
     callbacks->makeHello = [this](PeerConnection&) { return hello(); };
+    callbacks->expectsHello = true;
     callbacks->onMessage = [this](PeerConnection& connection, const Json& message) {
         onMessage(connection, message);
     };
--- a/src/proxy/peer_connections.cpp
+++ b/src/proxy/peer_connections.cpp
@@ -14,6 +14,7 @@
     callbacks_->makeHello = [this](PeerConnection&) {
         return encode(ProxyHello{settings_.name, settings_.peerAddress(settings_.ip), incarnation_});
     };
+    callbacks_->expectsHello = true;
     callbacks_->onMessage = [this](PeerConnection& from, const Json& message) { onMessage(from, message); };
     callbacks_->onClosed = [this](PeerConnection& connection) { listener_.closed(connection); };
 }
--- a/src/transport/chunks.cpp
+++ b/src/transport/chunks.cpp
@@ -72,12 +72,12 @@
     return std::make_shared<const std::string>(std::move(frame));
 }
 
-std::optional<std::string> ChunkReassembler::addFrame(std::string_view frame) {
+std::optional<std::string> ChunkReassembler::addFrame(std::string_view frame, std::size_t maxMessageBytes) {
     if (frame.empty() || frame.front() != kChunkMark) return std::string(frame);
     if (frame.size() < kHeaderBytes) throw chunkError("chunk: frame is shorter than the header");
     const auto [number, index, count, crc] = readHeader(frame);
     frame.remove_prefix(kHeaderBytes);
-    checkSequence(number, index, count, crc);
+    checkSequence(number, index, count, crc, maxMessageBytes);
     const bool last = index + 1 == count;
     if (last ? frame.empty() || frame.size() > kChunkBytes : frame.size() != kChunkBytes)
         throw chunkError("chunk: wrong payload length");
@@ -91,14 +91,14 @@
 
 // The first chunk of a message sets its header values; any other chunk must continue the current message.
 void ChunkReassembler::checkSequence(std::uint32_t number, std::uint32_t index, std::uint32_t count,
-                                     std::uint32_t crc) {
+                                     std::uint32_t crc, std::size_t maxMessageBytes) {
     if (index != 0) {
         if (number != messageNumber_ || index != nextIndex_ || count != chunkCount_ || crc != crc_)
             throw chunkError("chunk: out of sequence");
         return;
     }
     if (nextIndex_ != 0) throw chunkError("chunk: the previous message is incomplete");
-    if (number != messageNumber_ + 1 || count == 0 || count > chunkCount(kMaxMessageBytes))
+    if (number != messageNumber_ + 1 || count == 0 || count > chunkCount(maxMessageBytes))
         throw chunkError("chunk: invalid message number or chunk count");
     messageNumber_ = number;
     chunkCount_ = count;
--- a/src/transport/chunks.hpp
+++ b/src/transport/chunks.hpp
@@ -47,15 +47,17 @@
 };
 
 /// Reassembles chunks in the order in which a SendQueue emits them. Uses no more memory than the bytes
-/// received, and at most kMaxMessageBytes.
+/// received, and at most `maxMessageBytes`.
 class ChunkReassembler {
   public:
     /// Returns a message once it is complete. Throws PeerError if a chunk is missing, duplicated or corrupt;
     /// the connection must be closed then, since its data cannot be trusted.
-    std::optional<std::string> addFrame(std::string_view frame);
+    std::optional<std::string> addFrame(std::string_view frame,
+                                        std::size_t maxMessageBytes = kMaxMessageBytes);
 
   private:
-    void checkSequence(std::uint32_t number, std::uint32_t index, std::uint32_t count, std::uint32_t crc);
+    void checkSequence(std::uint32_t number, std::uint32_t index, std::uint32_t count, std::uint32_t crc,
+                       std::size_t maxMessageBytes);
 
     std::string bytes_;
     std::uint32_t messageNumber_ = 0, nextIndex_ = 0, chunkCount_ = 0, crc_ = 0;
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -1,8 +1,12 @@
 #include "transport/peer_connection.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/beast/websocket.hpp>
+#include <list>
 
+#include "transport/bounded_parser.hpp"
 #include "transport/compression.hpp"
 #include "transport/log.hpp"
 
@@ -22,20 +26,41 @@
 // Limits the bytes buffered in the kernel, since later messages cannot overtake them.
 constexpr int kMaxKernelSendBuffer = 128 << 10;
 constexpr std::size_t kMaxQueuedBytes = 32 << 20;  // unless a single message is larger
+// Of an accepted connection, until its first message has named its kind.
+constexpr Nanos kHelloTimeout = 2100 * kMillisecond;
+constexpr std::size_t kMaxConnectionsWithoutHello = 256;
+constexpr std::size_t kMaxUpgradeHeaderBytes = 8 << 10;
 constexpr std::size_t kMaxFrameBytes = kMaxUnchunkedBytes + 1024;
 const std::string kHeartbeatBytes = "p\xf6";  // CBOR null, uncompressed; same in all versions
 
+struct MessageLimits {
+    std::size_t receivedBytes, decompressedBytes;
+};
+constexpr MessageLimits kMessageLimits{kMaxMessageBytes, 256 << 20};
+constexpr MessageLimits kHelloLimits{1 << 20, 1 << 20};
+
 // Returns nothing while the message is incomplete, and a discarded value if it cannot be decoded.
-std::optional<Json> decodeFrame(ChunkReassembler& reassembler, std::string_view frame) {
+std::optional<Json> decodeFrame(ChunkReassembler& reassembler, std::string_view frame,
+                                const MessageLimits& limits) {
     try {
-        const auto compressed = reassembler.addFrame(frame);
+        const auto compressed = reassembler.addFrame(frame, limits.receivedBytes);
         if (!compressed) return std::nullopt;
-        return std::make_optional<Json>(Json::from_cbor(decompress(*compressed), true, false));
+        return std::make_optional<Json>(
+            Json::from_cbor(decompress(*compressed, limits.decompressedBytes), true, false));
     } catch (const std::exception&) {  // nlohmann throws on excessive sizes even with exceptions disabled
         return std::make_optional<Json>(Json::value_t::discarded);
     }
 }
 
+// Removes the others from the list.
+std::size_t countWithoutHello(std::list<std::weak_ptr<PeerConnection>>& connections) {
+    connections.remove_if([](const auto& entry) {
+        const auto connection = entry.lock();
+        return !connection || !connection->kind.empty();
+    });
+    return connections.size();
+}
+
 }  // namespace
 
 struct PeerConnection::Stream {
@@ -101,7 +126,9 @@
     static const auto kBytes = std::make_shared<const std::string>(kHeartbeatBytes);
     while (self->open_) {
         co_await sleep(self->heartbeatInterval_);
-        if (now() - self->lastReceived_ > self->heartbeatInterval_ * 7 / 2) {
+        if (self->awaitsHello() && now() > self->helloDeadline_) {
+            self->close();
+        } else if (now() - self->lastReceived_ > self->heartbeatInterval_ * 7 / 2) {
             if (self->open_) log("peer_connection_lost", {{"peer", self->peer}, {"step", "heartbeat"}});
             self->close();
         } else if (now() - self->lastSent_ > self->heartbeatInterval_ / 2) {
@@ -132,7 +159,8 @@
         if (code) co_return;
         self->lastReceived_ = now();
         const auto message =
-            decodeFrame(reassembler, {static_cast<const char*>(buffer.data().data()), buffer.size()});
+            decodeFrame(reassembler, {static_cast<const char*>(buffer.data().data()), buffer.size()},
+                        self->awaitsHello() ? kHelloLimits : kMessageLimits);
         buffer.consume(buffer.size());
         if (message && !self->deliver(*callbacks, *message)) co_return;
     }
@@ -154,26 +182,46 @@
     return true;
 }
 
-Task<> PeerConnection::accept(asio::io_context& io, tcp::socket socket,
-                              std::shared_ptr<Callbacks> callbacks) {
-    auto connection = std::make_shared<PeerConnection>(io, "unnamed");
-    connection->stream_ = std::make_shared<Stream>(std::move(socket));
-    connection->stream_->setTimeout(kDialTimeout);
-    ErrorCode code;
-    co_await connection->stream_->ws.async_accept(withErrorCode(code));
+Task<> PeerConnection::accept(std::shared_ptr<PeerConnection> self, std::shared_ptr<Callbacks> callbacks) {
+    self->stream_->setTimeout(kDialTimeout);
+    const auto code = co_await acceptUpgrade(self);
     if (code) co_return;
-    connection->stream_->clearTimeout();
-    co_await run(connection, callbacks);
+    self->stream_->clearTimeout();
+    if (callbacks->expectsHello) self->helloDeadline_ = now() + kHelloTimeout;
+    co_await run(self, callbacks);
+}
+
+// Beast's own accept doesn't limit the header as a whole. A peer sends nothing behind its request before it
+// has the response.
+Task<ErrorCode> PeerConnection::acceptUpgrade(std::shared_ptr<PeerConnection> self) {
+    auto& ws = self->stream_->ws;
+    beast::flat_buffer buffer;
+    limitReadBuffer(buffer, kMaxUpgradeHeaderBytes);
+    BoundedParser<true, beast::http::empty_body> parser({kMaxUpgradeHeaderBytes});
+    ErrorCode code;
+    co_await beast::http::async_read(ws.next_layer(), buffer, parser, withErrorCode(code));
+    if (!code && buffer.size() > 0) code = make_error_code(boost::system::errc::bad_message);
+    if (!code) co_await ws.async_accept(parser.get(), withErrorCode(code));
+    co_return code;
 }
 
 Task<> servePeerConnections(asio::io_context& io, tcp::acceptor& acceptor,
                             std::shared_ptr<PeerConnection::Callbacks> callbacks) {
+    std::list<std::weak_ptr<PeerConnection>> withoutHello;
     while (acceptor.is_open()) {
         ErrorCode code;
         auto socket = co_await acceptor.async_accept(withErrorCode(code));
         if (code == asio::error::operation_aborted) co_return;
-        if (code) co_await sleep(kAcceptRetryDelay);
-        else spawn(io, "accept peer", PeerConnection::accept(io, std::move(socket), callbacks));
+        if (code) {
+            co_await sleep(kAcceptRetryDelay);
+            continue;
+        }
+        auto connection = std::make_shared<PeerConnection>(io, "unnamed");
+        connection->stream_ = std::make_shared<PeerConnection::Stream>(std::move(socket));
+        if (callbacks->expectsHello) withoutHello.push_back(connection);
+        spawn(io, "accept peer", PeerConnection::accept(std::move(connection), callbacks));
+        while (countWithoutHello(withoutHello) >= kMaxConnectionsWithoutHello)
+            co_await sleep(kAcceptRetryDelay);
     }
 }
 
--- a/src/transport/peer_connection.hpp
+++ b/src/transport/peer_connection.hpp
@@ -25,6 +25,9 @@
         std::function<Json(PeerConnection&)> makeHello;  // returns the first message to send, or null
         std::function<void(PeerConnection&, const Json&)> onMessage;  // in order; not for heartbeats
         std::function<void(PeerConnection&)> onClosed;                // once, if makeHello was called
+        /// Whether the owner sets PeerConnection::kind at the first message. Then the number, the time and
+        /// the messages of accepted connections without a kind are limited.
+        bool expectsHello = false;
     };
 
     PeerConnection(asio::io_context& io, std::string peer);
@@ -53,12 +56,14 @@
                                        std::shared_ptr<PeerConnection::Callbacks> /*callbacks*/);
     // The coroutines are static and take a shared_ptr: a member coroutine might start only after its object
     // is destroyed.
-    static Task<> accept(asio::io_context& io, tcp::socket socket, std::shared_ptr<Callbacks> callbacks);
+    static Task<> accept(std::shared_ptr<PeerConnection> self, std::shared_ptr<Callbacks> callbacks);
+    static Task<ErrorCode> acceptUpgrade(std::shared_ptr<PeerConnection> self);
     static Task<> run(std::shared_ptr<PeerConnection> self, std::shared_ptr<Callbacks> callbacks);
     static Task<> readMessages(std::shared_ptr<PeerConnection> self, std::shared_ptr<Callbacks> callbacks);
     static Task<> write(std::shared_ptr<PeerConnection> self);
     static Task<> heartbeat(std::shared_ptr<PeerConnection> self);
     bool deliver(const Callbacks& callbacks, const Json& message);
+    bool awaitsHello() const { return helloDeadline_ > 0 && kind.empty(); }
 
     asio::io_context& io_;
     struct Stream;
@@ -66,6 +71,7 @@
     SendQueue sendQueue_;
     bool open_ = false, writing_ = false;
     Nanos lastReceived_ = 0, lastSent_ = 0, heartbeatInterval_;
+    Nanos helloDeadline_ = 0;  // 0: none
 };
 
 /// Accepts connections until the acceptor is closed.
