--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -9,6 +9,7 @@
 #include "transport/bounded_parser.hpp"
 #include "transport/compression.hpp"
 #include "transport/log.hpp"
+#include "transport/message_decoder.hpp"
 
 namespace lichenlanding::transport {
 namespace {
@@ -45,8 +46,7 @@
     try {
         const auto compressed = reassembler.addFrame(frame, limits.receivedBytes);
         if (!compressed) return std::nullopt;
-        return std::make_optional<Json>(
-            Json::from_cbor(decompress(*compressed, limits.decompressedBytes), true, false));
+        return std::make_optional<Json>(decodeMessage(decompress(*compressed, limits.decompressedBytes)));
     } catch (const std::exception&) {  // nlohmann throws on excessive sizes even with exceptions disabled
         return std::make_optional<Json>(Json::value_t::discarded);
     }
--- a/tests/integration/hostile_clients.cpp
+++ b/tests/integration/hostile_clients.cpp
@@ -109,6 +109,8 @@
     CPPUNIT_TEST(fieldsToPeerAddress);
     CPPUNIT_TEST(expandingMessageToProxy);
     CPPUNIT_TEST(expandingMessageToControlNode);
+    CPPUNIT_TEST(nestedMessageToProxy);
+    CPPUNIT_TEST(nestedMessageToControlNode);
     CPPUNIT_TEST(upgradesToProxy);
     CPPUNIT_TEST(upgradesToControlNode);
     CPPUNIT_TEST_SUITE_END();
@@ -325,27 +327,47 @@
         sendAll(cluster, cluster.at("c1", cluster.internal), endless(kUpgradeLines, kFieldsOfReads4096));
         checkControlNode(cluster);
     }
-    // A peer that has not said who it is sends 60 KB that expand to a list of 14 million values.
-    static void sendExpandingMessage(Cluster& cluster, const std::string& name) {
-        constexpr std::size_t kValues = 14'000'000;
-        std::string list = "\x9a";
-        for (int shift = 24; shift >= 0; shift -= 8) list += static_cast<char>(kValues >> shift & 0xff);
-        const auto message = compress(list + std::string(kValues, '\xf6'));
+    // A peer that has not said who it is sends one message.
+    static void sendMessage(Cluster& cluster, const std::string& name, const std::string& message) {
         SilentClients peer(cluster.at(name, cluster.internal));
         peer.connect(1);
         peer.send(kUpgrade, [&] { pump(cluster); });
         peer.send(webSocketFrame(message), [&] { pump(cluster); });
     }
+    // 60 KB that expand to a list of 14 million values.
+    static std::string expandingMessage() {
+        constexpr std::size_t kValues = 14'000'000;
+        std::string list = "\x9a";
+        for (int shift = 24; shift >= 0; shift -= 8) list += static_cast<char>(kValues >> shift & 0xff);
+        return compress(list + std::string(kValues, '\xf6'));
+    }
+    // Lists of one value, each in another one.
+    static std::string nestedMessage() {
+        constexpr std::size_t kDepth = 1'000'000;
+        return compress(std::string(kDepth, '\x81'));
+    }
     void expandingMessageToProxy() {
         Cluster cluster;
         launchAll(cluster);
-        sendExpandingMessage(cluster, "e1");
+        sendMessage(cluster, "e1", expandingMessage());
         checkProxy(cluster);
     }
     void expandingMessageToControlNode() {
         Cluster cluster;
         launchAll(cluster);
-        sendExpandingMessage(cluster, "c1");
+        sendMessage(cluster, "c1", expandingMessage());
+        checkControlNode(cluster);
+    }
+    void nestedMessageToProxy() {
+        Cluster cluster;
+        launchAll(cluster);
+        sendMessage(cluster, "e1", nestedMessage());
+        checkProxy(cluster);
+    }
+    void nestedMessageToControlNode() {
+        Cluster cluster;
+        launchAll(cluster);
+        sendMessage(cluster, "c1", nestedMessage());
         checkControlNode(cluster);
     }
     void upgradesToProxy() {
