Sidecar: lines of a request and of a chunk's size are bounded (FAULT)

Callers saw: 40 clients that sent a chunk's size or extension without end brought a sidecar to 71 MB in the 2.4 s that a request may take, and kept it busy with searching the same bytes for a line end; 120 clients with 7,500 short fields each, 102 MB. (Bound of the test: 64 MB, with 256 sockets.)

Cause: evhttp searches the line before a chunk without a limit, and its limit for the header counts text: a field of two bytes takes over a hundred.

RequestFraming follows each request ahead of evhttp: 1,000 lines of header and trailers, 1 KiB for the line before a chunk. Clients of our pages send about ten fields.

--- a/src/sidecar/http_server.cpp
+++ b/src/sidecar/http_server.cpp
@@ -6,6 +6,7 @@
 #include <sys/ioctl.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <stdexcept>
 
@@ -19,6 +20,7 @@
 constexpr Nanos kMinSilenceForEviction = 200'000'000;  // a client with a request sends its first byte sooner
 constexpr Nanos kRequestTimeout = 2'400'000'000;       // since the accept or the request's first byte
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+constexpr int kMaxInputExtents = 16;  // pieces of memory that one read fills; libevent uses at most four
 constexpr std::size_t kMaxReadAheadBytes = 4 * 1024;  // received while a request is in flight
 constexpr auto kAllMethods = 0xffff;                  // this program, not evhttp, rejects other methods
 
@@ -131,6 +133,7 @@
         // Clients must not pipeline: bytes after the request mean that its declared length is wrong.
         valid = valid && evbuffer_get_length(bufferevent_get_input(stream)) == 0;
         client.request = clientRequest.get();
+        client.framing = {};
         client.receiving = false;
         beginPhase(client);
         watchForDisconnect(client);
@@ -160,14 +163,30 @@
     clients_.splice(clients_.end(), clients_, find(client.connection));
 }
 
-void HttpServer::onInputAdded(evbuffer* /*unused*/, const evbuffer_cb_info* info, void* context) {
+void HttpServer::onInputAdded(evbuffer* input, const evbuffer_cb_info* info, void* context) {
     auto& client = *static_cast<Client*>(context);
+    if (info->n_added > 0) client.server.boundInput(client, input, *info);
     if (info->n_added == 0 || client.receiving) return;
     client.receiving = true;
     // The request timeout starts at the request's first byte; for the first request, at the accept.
     if (!std::exchange(client.silent, false) && !client.request) client.server.beginPhase(client);
 }
 
+// Runs before evhttp sees the bytes that were added. sweep() closes the connection, since evhttp uses it
+// until the event has been handled.
+void HttpServer::boundInput(Client& client, evbuffer* input, const evbuffer_cb_info& added) {
+    evbuffer_ptr position;
+    evbuffer_ptr_set(input, &position, added.orig_size, EVBUFFER_PTR_SET);
+    std::array<evbuffer_iovec, kMaxInputExtents> extents;
+    const auto count = evbuffer_peek(input, -1, &position, extents.data(), kMaxInputExtents);
+    for (int extent = 0; extent < std::min(count, kMaxInputExtents); ++extent) {
+        const auto& [base, length] = extents[static_cast<std::size_t>(extent)];
+        if (!client.framing.add({static_cast<const char*>(base), length})) client.exceedsBounds = true;
+    }
+    if (count > kMaxInputExtents) client.exceedsBounds = true;
+    if (client.exceedsBounds) evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 // Reads the connection while a request is in flight, to detect that the client disconnects. evhttp's own read
 // callback is removed: it would abort the process if a client sent bytes before it had its response.
 void HttpServer::watchForDisconnect(Client& client) {
@@ -217,17 +236,21 @@
     return true;
 }
 
+// Whether the client has exceeded a bound or has not completed its request in time.
+bool HttpServer::isOverdue(const Client& client) const {
+    if (client.request) return false;
+    if (client.exceedsBounds) return true;
+    // While draining, a client that does not read its response must not delay the shutdown either.
+    const bool unfinished = client.silent || client.receiving || draining_;
+    return unfinished && loop_.now() - client.phaseStartedAt > kRequestTimeout;
+}
+
 void HttpServer::sweep() {
     sweepTimer_.start(kSweepInterval);
     evconnlistener_enable(listener_);
-    const auto now = loop_.now();
     std::vector<evhttp_connection*> expired;
-    for (auto& client : clients_) {
-        // While draining, a client that does not read its response must not delay the shutdown either.
-        const bool unfinished = !client.request && (client.silent || client.receiving || draining_);
-        if ((unfinished && now - client.phaseStartedAt > kRequestTimeout) || (draining_ && isIdle(client)))
-            expired.push_back(client.connection);
-    }
+    for (auto& client : clients_)
+        if (isOverdue(client) || (draining_ && isIdle(client))) expired.push_back(client.connection);
     for (auto* connection : expired) evhttp_connection_free(connection);
 }
 
--- a/src/sidecar/http_server.hpp
+++ b/src/sidecar/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include "sidecar/client_request.hpp"
 #include "sidecar/connection.hpp"
+#include "sidecar/request_framing.hpp"
 
 namespace lichenlanding::sidecar {
 
@@ -47,6 +48,8 @@
         ClientRequest* request = nullptr;  // in flight; null if there is none
         bool receiving = false;            // part of the next request may have been received
         bool silent = true;                // no byte was ever received
+        RequestFraming framing = {};       // of the request that is being received
+        bool exceedsBounds = false;        // its input is discarded until it is closed
     };
     using Clients = std::list<Client>;
 
@@ -59,7 +62,9 @@
     Clients::iterator find(evhttp_connection* connection);
     void beginPhase(Client& client);
     void watchForDisconnect(Client& client);
+    void boundInput(Client& client, evbuffer* input, const evbuffer_cb_info& added);
     bool isIdle(const Client& client) const;
+    bool isOverdue(const Client& client) const;
     bool evictIdle();
     void sweep();
 
