--- a/src/control_plane/learner.cpp
+++ b/src/control_plane/learner.cpp
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-Learner::Learner(ReplicaStorage& storage, std::function<void(const std::string& key)> onLearned)
-    : storage_(storage), onLearned_(std::move(onLearned)) {}
+Learner::Learner(ReplicaStorage& storage, Nanos lagHorizon,
+                 std::function<void(const std::string& key)> onLearned)
+    : storage_(storage), lagHorizon_(lagHorizon), onLearned_(std::move(onLearned)) {}
 
 const KnownValue& Learner::known(const std::string& key) const {
     static const KnownValue kNone;
@@ -24,6 +25,11 @@
     return it == known_.end() ? kNone : it->second;
 }
 
+Nanos Learner::lagOf(const std::string& key, const consensus::ProposalNumber& accepted) const {
+    const auto it = lags_.find(key);
+    return it == lags_.end() ? 0 : it->second.of(accepted, now());
+}
+
 consensus::RegisterState Learner::asState(const std::string& key) const {
     const auto& known = this->known(key);
     return {known.proposalNumber, known.proposalNumber, known.value};
@@ -42,6 +48,7 @@
     if (proposalNumber <= known.proposalNumber) return;
     const bool isNewValue = value != known.value;
     known = {proposalNumber, value};
+    lags_.try_emplace(key, lagHorizon_).first->second.noteInForce(proposalNumber, now());
     if (const auto it = acceptedAt_.find(key);
         it != acceptedAt_.end() && storage_.acceptor().state(key).accepted <= proposalNumber)
         acceptedAt_.erase(it);
--- a/src/control_plane/learner.hpp
+++ b/src/control_plane/learner.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "control_plane/replica_storage.hpp"
+#include "membership/replica_lag.hpp"
 
 namespace lichenlanding::control_plane {
 
@@ -21,11 +22,14 @@
 
 class Learner {
   public:
-    /// `onLearned` is called when the known value of a key changes.
-    Learner(ReplicaStorage& storage, std::function<void(const std::string& key)> onLearned);
+    /// `lagHorizon`: see membership::ReplicaLag. `onLearned` is called when the known value of a key changes.
+    Learner(ReplicaStorage& storage, Nanos lagHorizon, std::function<void(const std::string& key)> onLearned);
 
     const KnownValue& known(const std::string& key) const;
     std::size_t knownCount() const { return known_.size(); }
+    /// For how long a disk that has accepted `accepted` has lacked a known value of the key; 0: it lacks
+    /// none.
+    Nanos lagOf(const std::string& key, const consensus::ProposalNumber& accepted) const;
     consensus::RegisterState asState(const std::string& key) const;  ///< the known value
     consensus::RegisterStates asStates() const;                      ///< of all keys with a known value
 
@@ -57,8 +61,10 @@
         Nanos since = 0;
     };
     ReplicaStorage& storage_;
+    const Nanos lagHorizon_;
     std::function<void(const std::string& key)> onLearned_;
     std::map<std::string, KnownValue> known_;
+    std::map<std::string, membership::ReplicaLag> lags_;        // by key, for known_
     std::map<std::string, consensus::ProposalNumber> inForce_;  // highest number that proposers have reported
     std::map<std::string, PeerAcceptance> acceptedByPeers_;
     std::map<std::string, Nanos> acceptedAt_;  // time of acceptance by this disk, until known to be in force
--- a/src/control_plane/membership_planner.cpp
+++ b/src/control_plane/membership_planner.cpp
@@ -10,10 +10,15 @@
 using namespace transport;
 using membership::Candidate;
 
+Nanos memberAbsenceTimeout(const config::BootstrapSettings& boot) {
+    return boot.controlReplaceAfter > 0 ? boot.controlReplaceAfter : boot.syncTime * 6 / 10;
+}
+
 MembershipPlanner::MembershipPlanner(const config::BootstrapSettings& boot, PeerDirectory& peers,
                                      ReplicaStorage& storage, EpochTracker& epochs,
                                      QuorumContactMonitor& contact, Learner& learner)
     : boot_(boot),
+      absenceTimeout_(memberAbsenceTimeout(boot)),
       address_(boot.peerAddress(boot.ip)),
       peers_(peers),
       storage_(storage),
@@ -30,21 +35,18 @@
     return membership::unmetTolerance(members, tolerance());
 }
 
-Nanos MembershipPlanner::absenceTimeout() const {
-    return boot_.controlReplaceAfter > 0 ? boot_.controlReplaceAfter : boot_.syncTime * 6 / 10;
-}
-
 bool MembershipPlanner::isAnyEligible() const {
     const auto& peers = peers_.peers();
     return boot_.quorumMember ||
            std::any_of(peers.begin(), peers.end(), [](const auto& peer) { return peer.second.eligible; });
 }
 
-// `accepted` returns the proposal number that a disk has accepted for a key.
+// `accepted` returns the proposal number that a disk has accepted for a key. A disk need not have the newest
+// values, which may change faster than it is reported what it has: the reconfiguration transfers them.
 template <typename Accepted>
 bool MembershipPlanner::isComplete(Accepted accepted) const {
     return std::all_of(kKeys.begin(), kKeys.end(),
-                       [&](const auto& key) { return accepted(key) >= learner_.known(key).proposalNumber; });
+                       [&](const auto& key) { return learner_.lagOf(key, accepted(key)) < absenceTimeout_; });
 }
 
 Candidate MembershipPlanner::self() const {
@@ -65,7 +67,7 @@
     // be reached. A replica that was removed as a member for its absence is not a present spare either.
     const Nanos since = isMember ? std::max(contact_.lastUnreachableAt(), epochs_.openedAt()) : 0;
     const Nanos silence = now() - std::max(peer.lastMessageAt, since);
-    const Nanos limit = isMember ? absenceTimeout() : std::min(kPeerSilenceTimeout, absenceTimeout());
+    const Nanos limit = isMember ? absenceTimeout_ : std::min(kPeerSilenceTimeout, absenceTimeout_);
     return {peer.member, isComplete(accepted), !peer.leaving && silence <= limit};
 }
 
@@ -80,7 +82,7 @@
     }
     // Members from which no message was received since this replica started.
     const Nanos since = std::max(contact_.lastUnreachableAt(), epochs_.openedAt());
-    if (epochs_.isFounded() && now() - since <= absenceTimeout())
+    if (epochs_.isFounded() && now() - since <= absenceTimeout_)
         for (const auto& member : epochs_.openEpoch().members)
             if (member.address != address_ && !peers_.find(member.address))
                 all.push_back({member, false, true});
--- a/src/control_plane/membership_planner.hpp
+++ b/src/control_plane/membership_planner.hpp
@@ -11,6 +11,10 @@
 
 namespace lichenlanding::control_plane {
 
+/// How long a member may be silent, or the copy of a spare may lack a value in force, before it counts as
+/// absent or incomplete.
+Nanos memberAbsenceTimeout(const config::BootstrapSettings& boot);
+
 class MembershipPlanner {
   public:
     MembershipPlanner(const config::BootstrapSettings& boot, PeerDirectory& peers, ReplicaStorage& storage,
@@ -28,7 +32,6 @@
 
   private:
     membership::FaultTolerance tolerance() const;
-    Nanos absenceTimeout() const;
     bool isAnyEligible() const;
     membership::Candidate self() const;
     membership::Candidate candidate(const Peer& peer) const;
@@ -36,6 +39,7 @@
     bool isComplete(Accepted accepted) const;
 
     const config::BootstrapSettings& boot_;
+    const Nanos absenceTimeout_;
     const std::string address_;
     PeerDirectory& peers_;
     ReplicaStorage& storage_;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -20,7 +20,7 @@
 /// A machine that could be a member, as seen by the planning replica.
 struct Candidate {
     consensus::Member member;
-    bool complete = false;  ///< its disk has all current values, synced
+    bool complete = false;  ///< its disk has every value in force but for those of a short time, synced
     bool present = false;   ///< a message arrived from it recently, and it is not leaving
 };
 
