Catch-up: a failed write is tried again while the disk is busy

What could happen: a spare whose write of one key failed once lacked it for good while another key kept changing, so it never became a member.

Cause: values that a disk lacks were submitted again only when nothing was being written, to keep them from piling up. Under steady changes on a slow disk there is no such moment.

Change: at most one write of a key waits in the queue (it was so for non-members; now for members too), so no pause of the disk is needed.

--- a/src/control_plane/catch_up.cpp
+++ b/src/control_plane/catch_up.cpp
@@ -8,9 +8,8 @@
 
 using namespace transport;
 
-CatchUp::CatchUp(asio::io_context& io, Proposer& proposer, ReplicaStorage& storage,
-                 QuorumContactMonitor& contact, Learner& learner)
-    : io_(io), proposer_(proposer), storage_(storage), contact_(contact), learner_(learner) {}
+CatchUp::CatchUp(asio::io_context& io, Proposer& proposer, QuorumContactMonitor& contact, Learner& learner)
+    : io_(io), proposer_(proposer), contact_(contact), learner_(learner) {}
 
 void CatchUp::startReadingAll() {
     if (!readingAll_) spawn(io_, "register", readAll());
@@ -30,7 +29,7 @@
 
 void CatchUp::check() {
     for (const auto& key : kKeys)
-        if (!learner_.isBehind(key) && !storage_.isWriting()) learner_.retain(key);
+        if (!learner_.isBehind(key)) learner_.retain(key);
     const bool behind =
         std::any_of(kKeys.begin(), kKeys.end(), [&](const auto& key) { return learner_.isBehind(key); });
     if (behind && !readingBehind_) spawn(io_, "register", readBehind());
--- a/src/control_plane/catch_up.hpp
+++ b/src/control_plane/catch_up.hpp
@@ -11,8 +11,8 @@
 
 class CatchUp {
   public:
-    CatchUp(transport::asio::io_context& io, Proposer& proposer, ReplicaStorage& storage,
-            QuorumContactMonitor& contact, Learner& learner);
+    CatchUp(transport::asio::io_context& io, Proposer& proposer, QuorumContactMonitor& contact,
+            Learner& learner);
 
     /// Reads every key, then establishes contact if a majority is still reachable. Does nothing while a run
     /// is in progress.
@@ -27,7 +27,6 @@
 
     transport::asio::io_context& io_;
     Proposer& proposer_;
-    ReplicaStorage& storage_;
     QuorumContactMonitor& contact_;
     Learner& learner_;
     bool readingAll_ = false, readingBehind_ = false;
--- a/src/control_plane/learner.cpp
+++ b/src/control_plane/learner.cpp
@@ -105,7 +105,7 @@
         return;
     if (storage_.isQueueFull()) return;  // the disk is stalled
     if (!acceptor.isVotingMember()) {
-        if (statesToRetain(key)) storage_.submitRetained(key);
+        if (statesToRetain(key)) storage_.submitRetained(key, std::nullopt);
         return;
     }
     consensus::Request accept;
@@ -114,7 +114,7 @@
     accept.key = key;
     accept.proposalNumber = known.proposalNumber;
     accept.value = known.value;
-    storage_.submit(std::move(accept));
+    storage_.submitRetained(key, std::move(accept));
 }
 
 std::optional<consensus::RegisterStates> Learner::statesToRetain(const std::string& key) const {
--- a/src/control_plane/replica_node.cpp
+++ b/src/control_plane/replica_node.cpp
@@ -32,7 +32,7 @@
       contact_(boot, peers_, storage_, epochs_, learner_, contactHooks()),
       broker_(storage_, peers_, address_),
       proposer_(io, broker_, peers_, epochs_, contact_, learner_, address_),
-      catchUp_(io, proposer_, storage_, contact_, learner_),
+      catchUp_(io, proposer_, contact_, learner_),
       planner_(boot, peers_, storage_, epochs_, contact_, learner_),
       reconfiguration_(io, broker_, proposer_, peers_, storage_, epochs_, contact_, learner_, planner_,
                        address_) {}
--- a/src/control_plane/replica_storage.cpp
+++ b/src/control_plane/replica_storage.cpp
@@ -156,10 +156,11 @@
     enqueue(std::move(job));
 }
 
-void ReplicaStorage::submitRetained(const std::string& key) {
+void ReplicaStorage::submitRetained(const std::string& key, std::optional<consensus::Request> accept) {
     if (!retainedKeys_.insert(key).second) return;
     Job job;
     job.retainedKey = key;
+    job.request = std::move(accept);
     enqueue(std::move(job));
 }
 
@@ -176,6 +177,7 @@
 
 std::optional<consensus::Update> ReplicaStorage::evaluate(const Job& job, consensus::Reply& reply) {
     std::optional<consensus::Update> update;
+    if (job.retainedKey) retainedKeys_.erase(*job.retainedKey);
     if (job.request) {
         // Rejects requests of an earlier epoch, even if the newer one is not on this disk yet.
         const auto openEpoch = hooks_.openEpoch().number;
@@ -188,7 +190,6 @@
     } else if (job.retainedKey) {
         if (auto states = hooks_.statesToRetain(*job.retainedKey))
             update = consensus::Update{std::move(*states), {}};
-        retainedKeys_.erase(*job.retainedKey);
     } else {
         update = job.update;
     }
--- a/src/control_plane/replica_storage.hpp
+++ b/src/control_plane/replica_storage.hpp
@@ -66,13 +66,13 @@
     /// were down.
     bool acceptsRequests() const;
     bool isQueueFull() const;
-    bool isWriting() const { return processing_; }
     bool isIdle() const { return jobs_.empty() && !processing_; }
 
     /// Evaluates a request. `onReply` is called when its update is synced, and never if that fails.
     void submit(consensus::Request request, ReplyHandler onReply = {});
-    /// Queues a write of what Hooks::statesToRetain returns for the key at that time.
-    void submitRetained(const std::string& key);
+    /// Queues a write of a known value, unless one of the key is in the queue already: of a member the
+    /// request `accept`, of a non-member what Hooks::statesToRetain returns at that time.
+    void submitRetained(const std::string& key, std::optional<consensus::Request> accept);
 
     /// Records another replica's report of a disk's write count.
     void noteWriteCount(const std::string& disk, std::uint64_t writes);
@@ -86,7 +86,8 @@
     void replaceIdentity(const char* reason);
 
   private:
-    /// A queue entry: a request to the acceptor, a key to retain, or an unconditional update.
+    /// A queue entry: a request to the acceptor, a key to retain (by a request, if there is one), or an
+    /// unconditional update.
     struct Job {
         std::optional<consensus::Request> request;
         ReplyHandler onReply;
--- a/tests/membership/steady_changes.cpp
+++ b/tests/membership/steady_changes.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST_SUITE(SteadyChangesTest);
     CPPUNIT_TEST(replacesALostDisk);
     CPPUNIT_TEST(replacesALostDiskFarFromTheOthers);
+    CPPUNIT_TEST(replacesALostDiskWhoseNewDiskIsBusy);
     CPPUNIT_TEST(handsOverMembershipAtStepDown);
     CPPUNIT_TEST(lagIsTheAgeOfTheFirstMissingValue);
     CPPUNIT_TEST(lagOfAnOldCopyIsNeverBelowTheHorizon);
@@ -99,6 +100,35 @@
         CPPUNIT_ASSERT(cluster.replica(2).isVotingMember());
     }
 
+    // Guards against a spare that lacks a value for good: the write of it failed once, and was tried again
+    // only in pauses of the disk, which there are none of while another value changes.
+    void replacesALostDiskWhoseNewDiskIsBusy() {
+        Cluster cluster(3);
+        cluster.tolerance = [](config::BootstrapSettings& boot) {
+            boot.tolerableMachineLosses = 1;
+            boot.controlReplaceAfter = 0;  // 0.6 of sync_time, as in the deployments
+        };
+        for (int at = 0; at < 3; ++at) cluster.launch(at, true);
+        cluster.until("all are in contact", [&] { return cluster.hasQuorumContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), cluster.write(0, "one"));
+        cluster.nodes[2]->kill();
+        cluster.disks[2].restore({});
+        cluster.disks[2].refuse(control_plane::kLeasesKey);
+        cluster.disks[2].writeTime = std::chrono::milliseconds(300);
+        const SteadyChanges leases(cluster, 0, control_plane::kLeasesKey, 1);
+        cluster.until("there is a lease", [&] { return leases.acknowledged() == 1; });
+        const SteadyChanges changes(cluster, 0);
+        cluster.launch(2, false);
+        cluster.until("its disk refuses the lease, and is busy with the changes", [&] {
+            return cluster.disks[2].refusedWrites() > 0 && cluster.disks[2].writeCount() > 10;
+        });
+        cluster.disks[2].refuse("");
+        const Nanos startedAt = now();
+        cluster.until("it votes again, or sync_time has passed",
+                      [&] { return cluster.replica(2).isVotingMember() || now() - startedAt > kSyncTime; });
+        CPPUNIT_ASSERT(cluster.replica(2).isVotingMember());
+    }
+
     // Guards against the same on SIGTERM: the member found no spare that had the newest value, and left
     // with its place kept.
     void handsOverMembershipAtStepDown() {
--- a/tests/support/replica_node_fixture.hpp
+++ b/tests/support/replica_node_fixture.hpp
@@ -19,7 +19,9 @@
     std::mutex lock;
     std::condition_variable changed;
     bool hangs = false, full = false;
-    int writes = 0, pending = 0;
+    std::chrono::milliseconds writeTime{0};  // of each write
+    std::string refusedKey;                  // writes of it fail; "": none
+    int writes = 0, pending = 0, refused = 0;
     std::map<std::string, consensus::RegisterState> registerStates;
     std::map<std::string, std::string> notes;
 
@@ -27,6 +29,14 @@
         std::lock_guard guard(lock);
         flag = value, changed.notify_all();
     }
+    void refuse(const std::string& key) {
+        std::lock_guard guard(lock);
+        refusedKey = key;
+    }
+    int refusedWrites() {
+        std::lock_guard guard(lock);
+        return refused;
+    }
     int pendingWrites() {
         std::lock_guard guard(lock);
         return pending;
@@ -65,7 +75,12 @@
         std::unique_lock guard(disk.lock);
         ++disk.pending;
         disk.changed.wait(guard, [&] { return !disk.hangs; });
+        disk.changed.wait_for(guard, disk.writeTime, [] { return false; });
         --disk.pending;
+        if (states.contains(disk.refusedKey)) {
+            ++disk.refused;
+            throw storage::StorageError("simulated: refused");
+        }
         if (disk.full) throw storage::StorageError("simulated: no space left");
         ++disk.writes;
         for (const auto& [key, state] : states)
