Proxies: one configuration is fetched at a time

What could happen: over a link that carries a configuration more slowly than it changes, a proxy asked for each version whole. The queue to it grew with each change, what arrived was older and older, and at 32 MB the connection was closed and all began anew.

Cause: a request was only held back while one for the same version was under way.

--- a/src/proxy/control_plane_feed.hpp
+++ b/src/proxy/control_plane_feed.hpp
@@ -32,6 +32,8 @@
     Json digest() const;
     /// Returns true once, when the wait for a control node that has contact with a majority has elapsed.
     bool checkWaitElapsed();
+    /// See subscription::ConfigurationCache::takeConfigurationOverdue().
+    bool takeConfigurationOverdue() { return cache_.takeConfigurationOverdue(transport::now()); }
 
   private:
     void onConfiguration(const std::string& compressed);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -154,7 +154,9 @@
             co_await sleep(kHousekeepingInterval);
             detectStandstill();
             memoryLog_.check();
-            if (feed_.checkWaitElapsed()) connections_.sendToControlNodes(feed_.digest());
+            const bool waitElapsed = feed_.checkWaitElapsed();
+            if (waitElapsed || feed_.takeConfigurationOverdue())
+                connections_.sendToControlNodes(feed_.digest());
             httpServer_.enforceTimeouts(now());
             upstream_.closeExpired(now());
             if (ready() == wasReady) continue;
--- a/src/subscription/configuration_cache.cpp
+++ b/src/subscription/configuration_cache.cpp
@@ -9,9 +9,6 @@
 namespace lichenlanding::subscription {
 namespace {
 
-// A requested configuration that has not arrived is requested again after this time.
-constexpr Nanos kConfigurationRequestTimeout = 400'000'000;
-
 std::size_t rangeOf(const std::string& id) { return hashing::hash("range", id) % messages::kDigestRanges; }
 
 }  // namespace
@@ -108,8 +105,7 @@
     } else if (type == messages::kTypeFetch) {
         answerFetch(messages::decodeFetchRequest(message), reply);
     } else if (type == messages::kTypeConfiguration) {
-        auto update = messages::decodeConfigurationUpdate(message);
-        setConfiguration(update.version, std::move(update.compressed));
+        applyConfiguration(messages::decodeConfigurationUpdate(message), from, now, reply);
     } else if (type == messages::kTypeRollouts) {
         auto update = messages::decodeRolloutsUpdate(message);
         setRollouts(update.number, std::move(update.text));
@@ -144,16 +140,29 @@
                                                            Nanos now) {
     messages::FetchRequest request;
     if (from == MessageSource::subscriber) return request;
-    const bool alreadyRequested =
-        requestedVersion_ == remote.configuration && now - requestedAt_ <= kConfigurationRequestTimeout;
-    if (remote.configuration > version_ && !alreadyRequested) {
-        request.configuration = requestedVersion_ = remote.configuration;
-        requestedAt_ = now;
+    configurationFetch_.onAnnounced(remote.configuration);
+    if (remote.configuration > version_ && configurationFetch_.isDue(version_, now)) {
+        request.configuration = remote.configuration;
+        configurationFetch_.onRequested(now);
     }
     request.rollouts = remote.rollouts > rolloutsNumber_;
     return request;
 }
 
+// Fetches again from the same sender while that leads to newer versions.
+void ConfigurationCache::applyConfiguration(messages::ConfigurationUpdate update, MessageSource from,
+                                            Nanos now, const Reply& reply) {
+    const bool newer = update.version > version_;
+    setConfiguration(update.version, std::move(update.compressed));
+    if (from == MessageSource::subscriber) return;
+    configurationFetch_.onArrived();
+    if (!newer || !configurationFetch_.isDue(version_, now)) return;
+    messages::FetchRequest request;
+    request.configuration = configurationFetch_.announced();
+    configurationFetch_.onRequested(now);
+    reply(messages::encode(request));
+}
+
 // True if this copy has the newer list.
 bool ConfigurationCache::adoptOrFetchEndpoints(const messages::Digest::Endpoints& remote, MessageSource from,
                                                messages::FetchRequest& request) {
--- a/src/subscription/configuration_cache.hpp
+++ b/src/subscription/configuration_cache.hpp
@@ -13,6 +13,7 @@
 
 #include "discovery/endpoint_set.hpp"
 #include "messages/peer_messages.hpp"
+#include "subscription/pending_fetch.hpp"
 
 namespace lichenlanding::subscription {
 
@@ -65,6 +66,9 @@
     bool handleMessage(const Json& message, MessageSource from, Nanos now, const Reply& reply);
 
     std::uint32_t version() const { return version_; }  // of the configuration; 0: none received
+    /// Whether a newer configuration was announced a while ago and did not arrive. The caller then sends
+    /// digestMessage() to those that may have it. True once in an interval.
+    bool takeConfigurationOverdue(Nanos now) { return configurationFetch_.takeOverdue(version_, now); }
     bool endpointsCurrent() const { return endpointsCurrent_; }
     const EndpointListVersion& endpointListVersion() const { return endpointListVersion_; }
     std::uint64_t highestTermSeen() const { return highestTermSeen_; }  // including this node's own terms
@@ -73,6 +77,8 @@
   private:
     void compareDigest(const messages::Digest& remote, MessageSource from, Nanos now, const Reply& reply);
     messages::FetchRequest fetchRequestFor(const messages::Digest& remote, MessageSource from, Nanos now);
+    void applyConfiguration(messages::ConfigurationUpdate update, MessageSource from, Nanos now,
+                            const Reply& reply);
     bool adoptOrFetchEndpoints(const messages::Digest::Endpoints& remote, MessageSource from,
                                messages::FetchRequest& request);
     std::map<std::string, std::vector<std::string>> idsInDifferingRanges(
@@ -95,8 +101,7 @@
     EndpointListVersion endpointListVersion_;  // of the list that the copy is based on
     std::uint64_t highestTermSeen_ = 0;
     bool endpointsCurrent_ = false;
-    std::uint32_t requestedVersion_ = 0;  // version of the configuration fetched last
-    Nanos requestedAt_ = 0;
+    PendingFetch configurationFetch_;
     mutable messages::RangeHashes rangeHashes_{};
     mutable bool rangeHashesCurrent_ = true;
 };
