--- a/src/proxy/body_relay.cpp
+++ b/src/proxy/body_relay.cpp
@@ -35,8 +35,8 @@
                                   const boost::optional<std::uint64_t>& contentLength) {
     if (contentLength) response.content_length(*contentLength);
     else response.chunked(true);
-    http::response<http::empty_body> head(http::response_header<>(response.base()));
-    http::response_serializer<http::empty_body> serializer(head);
+    http::response<http::empty_body, HeaderFields> head(http::response_header<HeaderFields>(response.base()));
+    http::response_serializer<http::empty_body, HeaderFields> serializer(head);
     ErrorCode error;
     co_await http::async_write_header(client, serializer, withErrorCode(error));
     co_return error;
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -266,7 +266,7 @@
 std::shared_ptr<RequestContext> ClientConnection::accept(IncomingRequest& incoming) {
     auto& parser = incoming.parser;
     auto request = std::make_shared<RequestContext>();
-    request->request = Request(http::request_header<>(parser->get().base()));
+    request->request = Request(parser->header());
     request->request.body() = std::move(incoming.body);
     request->fieldMemory = std::move(incoming.fieldMemory);
     request->handlingMemory = std::move(incoming.handlingMemory);
@@ -333,7 +333,7 @@
         if (!co_await relayResponseBody(self, request)) error = asio::error::broken_pipe;
         co_return error;
     }
-    http::response_serializer<http::string_body> serializer(response);
+    http::response_serializer<http::string_body, HeaderFields> serializer(response);
     if (request->omitsResponseBody) {
         serializer.split(true);
         co_await http::async_write_header(socket, serializer, withErrorCode(error));
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -189,7 +189,8 @@
                                              std::shared_ptr<const Request> request, Nanos deadline,
                                              BodyWriter writeBody) {
     auto& socket = call->connection->socket;
-    http::request<http::span_body<const char>> sent(http::request_header<>(request->base()));
+    http::request<http::span_body<const char>, HeaderFields> sent(
+        http::request_header<HeaderFields>(request->base()));
     sent.body() = {request->body().data(), request->body().size()};
     sent.set("X-Deadline-Ms", std::to_string(std::max<Nanos>((deadline - now()) / kMillisecond, 1)));
     sent.set("X-Target-Instance", call->attempt->host()->endpoint.id);
@@ -198,7 +199,7 @@
         co_await http::async_write(socket, sent, withErrorCode(error));
         co_return error;
     }
-    http::request_serializer<http::span_body<const char>> serializer(sent);
+    http::request_serializer<http::span_body<const char>, HeaderFields> serializer(sent);
     co_await http::async_write_header(socket, serializer, withErrorCode(error));
     if (!error) error = co_await writeBody(socket);
     co_return error;
@@ -248,7 +249,7 @@
             error = co_await readBodyBlock(connection->socket, connection->buffer, *parser, body);
             if (error) co_return error;
         }
-        call->response = Response(http::response_header<>(parser->get().base()));
+        call->response = Response(parser->header());
         call->response.body() = std::move(body);
         call->unread.reset();
         if (!parser->is_done())
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -20,8 +20,9 @@
 namespace asio = boost::asio;
 
 namespace http = boost::beast::http;
-using Request = http::request<http::string_body>;
-using Response = http::response<http::string_body>;
+using transport::HeaderFields;
+using Request = http::request<http::string_body, HeaderFields>;
+using Response = http::response<http::string_body, HeaderFields>;
 
 /// One connection to a host. While it exists, it is counted in UpstreamHost::connections.
 struct UpstreamConnection {
--- a/src/transport/bounded_parser.hpp
+++ b/src/transport/bounded_parser.hpp
@@ -15,6 +15,7 @@
 
 #include "limits/memory_budget.hpp"
 #include "transport/body_reader.hpp"
+#include "transport/header_fields.hpp"
 
 namespace lichenlanding::transport {
 
@@ -50,6 +51,19 @@
     /// The memory of the parsed fields beyond `unsharedBytes`. Leaves the parser without any, to be called
     /// once the header is complete.
     limits::MemoryBudget::Share takeMemory() { return std::move(memory_); }
+    /// The parsed header with all its fields. get() has no more than the beginning of oversized ones.
+    beast::http::header<IsRequest, HeaderFields> header() const {
+        beast::http::header<IsRequest, HeaderFields> header(this->get().base(), oversized_);
+        header.version(this->get().version());
+        if constexpr (IsRequest) {
+            header.method_string(this->get().method_string());
+            header.target(this->get().target());
+        } else {
+            header.result(this->get().result_int());
+            header.reason(this->get().reason());
+        }
+        return header;
+    }
     /// Of the parsed fields, with all their copies.
     std::size_t fieldBytes() const { return fieldBytes_; }
 
@@ -76,13 +90,14 @@
         } else if (fieldBytes_ > limits_.unsharedBytes &&
                    !memory_.resize(fieldBytes_ - limits_.unsharedBytes)) {
             error = make_error_code(boost::system::errc::not_enough_memory);
-        } else {
-            this->get().insert(name, nameText, value);
+        } else if (oversized_.insert(this->get(), name, nameText, value)) {
+            fieldBytes_ += textBytes;  // the copy that is written
         }
     }
 
     const FieldLimits limits_;
     limits::MemoryBudget::Share memory_;
+    OversizedFields oversized_;
     std::size_t receivedBytes_ = 0;
     std::size_t fieldBytes_ = 0;
     std::uint64_t framingBytes_ = 0, framingAllowance_ = 0;
