A failed handler ends one connection

What could happen: after an exception other than one of JSON in the handler of a peer's message, that connection had no reader, was never reported as closed, and its dialer ended for good. After one in the task of a client's request nobody answered, and the connection stayed open for good.

Cause: PeerConnection::deliver caught errors of JSON alone, and spawn() only logs. No message is known that leads to such an exception now.

Change: PeerConnection::run catches what its callbacks throw, then closes and reports the connection as after any other end; spawn() takes what to do after a failure, which for a client's tasks is to end the connection.

--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -114,7 +114,6 @@
     idleTimeout_ = idleTimeout;
 }
 
-// Called by whichever of the two coroutines ends last.
 void ClientConnection::finish() {
     close();
     server_.onConnectionClosed(number_);
@@ -140,7 +139,7 @@
         }
         const auto request = self->accept(incoming);
         const auto handler = std::make_shared<RequestHandler>(self->server_, self, request);
-        spawn(self->server_.io, "request", RequestHandler::handle(handler));
+        spawn(self->server_.io, "request", RequestHandler::handle(handler), [self] { self->finish(); });
         if (request->upload) co_await self->awaitUpload(request);
         self->lastRequestRead_ = request->closesConnection;
         if (!co_await self->awaitPipelineCapacity()) break;
@@ -288,7 +287,8 @@
     if (writing_ || !requests_.front()->responseReady) return;
     writing_ = true;
     writeStarted = now();  // set before the writer coroutine starts, since isStalled() reads both
-    spawn(server_.io, "response", writeResponses(shared_from_this()));
+    const auto self = shared_from_this();
+    spawn(server_.io, "response", writeResponses(self), [self] { self->finish(); });
 }
 
 Task<> ClientConnection::writeResponses(std::shared_ptr<ClientConnection> self) {
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -38,6 +38,9 @@
 
     /// Closes the connection immediately and drops unwritten responses.
     void close();
+    /// Closes the connection and removes it from the server. Called by the coroutine that ends last, and
+    /// after an exception in one of the connection's tasks: a defect ends one connection, not the process.
+    void finish();
     /// Cancels the read in progress. Requests that were received completely are still served.
     void cancelRead();
     /// Cancels the read in progress because its deadline has passed. Replies 408 if part of a request was
@@ -101,7 +104,6 @@
     void startLingering();
 
     void startIdle(Nanos idleTimeout);
-    void finish();
 
     HttpServerContext& server_;
     const std::uint64_t number_;
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -48,7 +48,8 @@
         const auto connection =
             std::make_shared<ClientConnection>(std::move(socket), context_, ++lastNumber_);
         connections_[connection->number()] = connection;
-        spawn(context_.io, "client", ClientConnection::readRequests(connection));
+        spawn(context_.io, "client", ClientConnection::readRequests(connection),
+              [connection] { connection->finish(); });
     }
 }
 
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -44,14 +44,15 @@
     co_await timer.async_wait(withErrorCode(code));
 }
 
-void spawn(asio::io_context& io, const char* step, Task<> task) {
-    asio::co_spawn(io, std::move(task), [step](std::exception_ptr failure) {
+void spawn(asio::io_context& io, const char* step, Task<> task, std::function<void()> onFailure) {
+    asio::co_spawn(io, std::move(task), [step, onFailure = std::move(onFailure)](std::exception_ptr failure) {
         if (!failure) return;
         try {
             std::rethrow_exception(failure);
         } catch (const std::exception& error) {
             log("task_failed", {{"step", step}, {"error", error.what()}});
         }
+        if (onFailure) onFailure();
     });
 }
 
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
 
 #include "state.hpp"
@@ -61,8 +62,9 @@
 /// Suspends the coroutine for `duration`. Cancellation ends the wait without an error.
 Task<> sleep(Nanos duration);
 
-/// Runs a detached coroutine. An exception from it is logged with `step`, which must be a string literal.
-void spawn(asio::io_context& io, const char* step, Task<> task);
+/// Runs a detached coroutine. An exception from it is logged with `step`, which must be a string literal, and
+/// `onFailure`, if given, is called; it must not throw.
+void spawn(asio::io_context& io, const char* step, Task<> task, std::function<void()> onFailure = {});
 
 /// An event that one coroutine waits for and others notify. A notification before the wait is not lost.
 class AsyncEvent {
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -142,8 +142,12 @@
     self->open_ = true;
     self->lastReceived_ = self->lastSent_ = now();
     spawn(self->io_, "heartbeat", heartbeat(self));
-    if (const auto hello = callbacks->makeHello(*self); !hello.is_null()) self->send(hello);
-    co_await readMessages(self, callbacks);
+    try {
+        if (const auto hello = callbacks->makeHello(*self); !hello.is_null()) self->send(hello);
+        co_await readMessages(self, callbacks);
+    } catch (const std::exception& error) {
+        log("peer_connection_failed", {{"peer", self->peer}, {"step", "read"}, {"error", error.what()}});
+    }
     self->close();
     callbacks->onClosed(*self);
 }
@@ -175,7 +179,7 @@
     if (!message.is_object()) return true;  // a heartbeat
     try {
         callbacks.onMessage(*this, message);
-    } catch (const Json::exception& error) {
+    } catch (const std::exception& error) {
         log("peer_message_rejected", {{"peer", peer}, {"step", "message"}, {"error", error.what()}});
         return false;
     }
--- a/tests/proxy/oversized_fields.cpp
+++ b/tests/proxy/oversized_fields.cpp
@@ -1,4 +1,5 @@
-// Header fields that are longer than Beast's container can hold: a request inside the limits is served.
+// Header fields that are longer than Beast's container can hold, and exceptions in a handler: a request ends
+// its own connection at most, and one inside the limits is served.
 #include "support/http_server_fixture.hpp"
 
 using namespace http_server_fixture;
@@ -87,6 +88,7 @@
     CPPUNIT_TEST(fieldsBeyondTheLimitsAreRejected);
     CPPUNIT_TEST(longFieldsThatTheProxyReadsItself);
     CPPUNIT_TEST(longConnectionFieldRemovesItsOptions);
+    CPPUNIT_TEST(exceptionInAHandlerEndsItsConnection);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -180,5 +182,26 @@
         CPPUNIT_ASSERT(count(passed, "X-First") == 0 && count(passed, "X-Last") == 0);
         CPPUNIT_ASSERT(count(passed, "Connection") == 0 && count(passed, "X-Mine: 1\r\n") == 1);
     }
+
+    // Guards against a request that nobody answers, on a connection that stays open for good.
+    void exceptionInAHandlerEndsItsConnection() {
+        HttpServerFixture fixture;
+        const RawPod pod(fixture);
+        bool fails = true;
+        proxy::HttpServer server(fixture.io, *fixture.router, *fixture.upstream, fixture.buffers,
+                                 fixture.machine, [&] {
+                                     if (fails) throw std::runtime_error("simulated defect");
+                                     return true;
+                                 });
+        const auto unused = std::exchange(fixture.clients,
+                                          std::make_unique<tcp::acceptor>(listen(fixture.io, "127.0.0.1:0")));
+        spawn(fixture.io, "clients", server.serve(*fixture.clients));
+        const auto ended = fixture.client(HttpServerFixture::get("g1"), 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("  ended: closed\n"), ended);
+        fixture.until([&] { return server.openConnections() == 0; });
+        fails = false;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             count(fixture.client(HttpServerFixture::get("g2"), 1), "  200 "));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OversizedFieldsTest);
