--- /dev/null
+++ b/src/admin/needed_rollouts.cpp
@@ -0,0 +1,20 @@
+#include "admin/needed_rollouts.hpp"
+
+namespace lichenlanding::admin {
+
+NeededRollouts::NeededRollouts(const messages::Rollouts& rollouts) {
+    for (const auto& rollout : rollouts) {
+        auto& service = services_[rollout.service];
+        service.newest = &rollout;
+    }
+    for (auto& [name, service] : services_) service.lastCompleted = messages::lastCompleted(rollouts, name);
+}
+
+bool NeededRollouts::contains(const messages::Rollout& rollout) const {
+    if (rollout.running()) return true;
+    const auto& service = services_.at(rollout.service);
+    if (&rollout == service.newest) return true;
+    return &rollout == service.lastCompleted;
+}
+
+}  // namespace lichenlanding::admin
--- a/src/admin/rollout_requests.cpp
+++ b/src/admin/rollout_requests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "admin/needed_rollouts.hpp"
 #include "messages/codec.hpp"
 
 namespace lichenlanding::admin {
@@ -31,16 +32,13 @@
     return taken;
 }
 
-// Drops the oldest ended rollouts beyond kMaxEndedRollouts.
+// Drops the oldest ended rollouts beyond kMaxEndedRollouts that no later answer depends on.
 void dropOldest(messages::Rollouts& rollouts) {
-    const auto needed = [&](const messages::Rollout& rollout) {
-        if (rollout.running()) return true;
-        return &rollout == messages::lastCompleted(rollouts, rollout.service);
-    };
+    const NeededRollouts needed(rollouts);
     std::vector<bool> keep(rollouts.size());
     std::size_t ended = 0;
     for (auto index = rollouts.size(); index-- > 0;)
-        keep[index] = needed(rollouts[index]) || ++ended <= kMaxEndedRollouts;
+        keep[index] = needed.contains(rollouts[index]) || ++ended <= kMaxEndedRollouts;
     messages::Rollouts kept;
     for (std::size_t index = 0; index < rollouts.size(); ++index)
         if (keep[index]) kept.push_back(rollouts[index]);
@@ -76,8 +74,7 @@
     const messages::Rollout* running = nullptr;
     for (const auto& one : rollouts) {
         if (one.service != request.service) continue;
-        if (one.hasSameOrder(request) && window.ageMs(one) <= window.lengthMs)
-            return RolloutRequestOutcome::known;
+        if (one.hasSameOrder(request) && window.contains(one)) return RolloutRequestOutcome::known;
         if (one.target == request.target && one.running()) running = &one;
     }
     if (running)
--- a/src/admin/rollout_requests.hpp
+++ b/src/admin/rollout_requests.hpp
@@ -4,16 +4,13 @@
 /// Pure: no I/O, no clock, no random numbers. Thread-safe.
 #pragma once
 
-#include <cstdint>
-#include <functional>
 #include <string>
 
-#include "messages/rollout.hpp"
+#include "admin/repeat_window.hpp"
 
 namespace lichenlanding::admin {
 
-/// Maximum number of ended rollouts kept, besides the newest completed one of each service, which decides the
-/// versions that serve. Enough to recognize repeated requests, which come within a few seconds.
+/// Maximum number of ended rollouts kept besides those that later answers depend on (NeededRollouts).
 constexpr std::size_t kMaxEndedRollouts = 32;
 
 enum class RolloutRequestOutcome {
@@ -25,14 +22,6 @@
 };
 const char* outcomeName(RolloutRequestOutcome outcome);
 
-/// How long after an order a request with the same content is taken for a repeat of it. Clients repeat one
-/// that was not answered, for a limited time; what comes later is an order of its own.
-struct RepeatWindow {
-    std::int64_t lengthMs = 0;
-    /// Milliseconds since the order of a rollout on record, by this process's steady clock.
-    std::function<std::int64_t(const messages::Rollout&)> ageMs;
-};
-
 /// A request is identified by service, target and term, within `window`. classifyRequest() on the value that
 /// results from a proposal with addRollout() gives the response to the request, where a new rollout is
 /// `known`.
