Rollouts: orders that may be repeated stay on record

What could happen: where 32 other rollouts ended within `ack`, the repeat of an order that had been rolled back began it again.

Cause: the same bound by count; the record is what repeats are known by.

Change: a rollout within the repeat window is not dropped.

AdminRequestsTest::endedRolloutsAreBounded let 400 rollouts end within the window and wanted them dropped, which is this fault. It lets the window of each pass now, and holds the same bounds.

Test: rolloutsThatMayBeRepeatedAreKept failed on the code before (begun in place of known), and passes.

--- a/src/admin/needed_rollouts.cpp
+++ b/src/admin/needed_rollouts.cpp
@@ -2,7 +2,8 @@
 
 namespace lichenlanding::admin {
 
-NeededRollouts::NeededRollouts(const messages::Rollouts& rollouts) {
+NeededRollouts::NeededRollouts(const messages::Rollouts& rollouts, const RepeatWindow& window)
+    : window_(window) {
     for (const auto& rollout : rollouts) {
         auto& service = services_[rollout.service];
         service.newest = &rollout;
@@ -11,7 +12,7 @@
 }
 
 bool NeededRollouts::contains(const messages::Rollout& rollout) const {
-    if (rollout.running()) return true;
+    if (rollout.running() || window_.contains(rollout)) return true;
     const auto& service = services_.at(rollout.service);
     if (&rollout == service.newest) return true;
     return &rollout == service.lastCompleted;
--- a/src/admin/needed_rollouts.hpp
+++ b/src/admin/needed_rollouts.hpp
@@ -6,18 +6,19 @@
 #include <map>
 #include <string>
 
-#include "messages/rollout.hpp"
+#include "admin/repeat_window.hpp"
 
 namespace lichenlanding::admin {
 
 /// These are needed:
 ///   - each running rollout;
+///   - each whose order may still be repeated: the repeat begins nothing;
 ///   - of each service the newest, which rollouts.read returns, and the one completed last, whose target
 ///     serves.
 class NeededRollouts {
   public:
-    /// `rollouts` is in the order of start, and must outlive the object.
-    explicit NeededRollouts(const messages::Rollouts& rollouts);
+    /// `rollouts` is in the order of start; both must outlive the object.
+    NeededRollouts(const messages::Rollouts& rollouts, const RepeatWindow& window);
 
     /// `rollout` must be an element of the list.
     bool contains(const messages::Rollout& rollout) const;
@@ -28,6 +29,7 @@
         const messages::Rollout* lastCompleted = nullptr;
     };
 
+    const RepeatWindow& window_;
     std::map<std::string, Service> services_;  // by name
 };
 
--- a/src/admin/rollout_requests.cpp
+++ b/src/admin/rollout_requests.cpp
@@ -33,8 +33,8 @@
 }
 
 // Drops the oldest ended rollouts beyond kMaxEndedRollouts that no later answer depends on.
-void dropOldest(messages::Rollouts& rollouts) {
-    const NeededRollouts needed(rollouts);
+void dropOldest(messages::Rollouts& rollouts, const RepeatWindow& window) {
+    const NeededRollouts needed(rollouts, window);
     std::vector<bool> keep(rollouts.size());
     std::size_t ended = 0;
     for (auto index = rollouts.size(); index-- > 0;)
@@ -99,7 +99,7 @@
     if (outcome == RolloutRequestOutcome::inForce) added.state = messages::kRolloutCompleted;
     added.number = nextNumber(rollouts);
     rollouts.push_back(std::move(added));
-    dropOldest(rollouts);
+    dropOldest(rollouts, window);
     return messages::encode(rollouts);
 }
 
--- a/tests/admin/configuration_record.cpp
+++ b/tests/admin/configuration_record.cpp
@@ -534,7 +534,8 @@
         }
     }
 
-    // Of hundreds of rollouts only the newest ended ones and each service's last completed one are kept.
+    // Of hundreds of rollouts that can't be repeated any more only the newest ended ones and each service's
+    // last completed one are kept.
     void endedRolloutsAreBounded() {
         auto value = ended(addRollout("", rolloutRequest("quiet", "v1", 1000)), "v1", "completed");
         std::size_t bytes = 0;
@@ -544,6 +545,7 @@
             CPPUNIT_ASSERT(addRollout(value, request) == value);
             value = ended(value, request.target, at % 3 ? "completed" : "rolled_back");
             CPPUNIT_ASSERT(addRollout(value, request) == value);  // known after it has ended as well
+            value = aged(value);
             if (at == 100) bytes = value.size();
         }
         const auto all = messages::decodeRollouts(value);
--- a/tests/admin/needed_rollouts.cpp
+++ b/tests/admin/needed_rollouts.cpp
@@ -74,6 +74,7 @@
 class NeededRolloutsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(NeededRolloutsTest);
     CPPUNIT_TEST(newestRolloutOfAServiceIsKept);
+    CPPUNIT_TEST(rolloutsThatMayBeRepeatedAreKept);
     CPPUNIT_TEST(otherEndedRolloutsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +93,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string(messages::kRolloutRolledBack), newest->state);
     }
 
+    // Guards against a repeat within `ack` that began a rollout a second time, since its order had been
+    // dropped.
+    void rolloutsThatMayBeRepeatedAreKept() {
+        Record record;
+        record.orderAndEnd("shop", "v1", messages::kRolloutCompleted);
+        record.order("shop", "v2");
+        record.order("shop", "v3");
+        record.end(messages::kRolloutRolledBack);
+        for (std::size_t at = 0; at < kOthers; ++at) {
+            record.order("s" + std::to_string(at), "v2");
+            record.end(messages::kRolloutRolledBack);
+        }
+        CPPUNIT_ASSERT(record.order("shop", "v2") == RolloutRequestOutcome::known);
+        CPPUNIT_ASSERT_EQUAL(std::string(messages::kRolloutRolledBack), record.newest("shop")->state);
+        record.age();
+        CPPUNIT_ASSERT(record.order("shop", "v2") == RolloutRequestOutcome::begun);
+    }
+
     void otherEndedRolloutsAreDropped() {
         Record record;
         for (int at = 0; at < 300; ++at)
