Rollouts: generations rise across dropped rollouts

What could happen: a version whose rollouts had been dropped was ordered again with generation 0. A process that had been cut off meanwhile counted votes, outcomes and the age of the earlier one for it; with such an age it is rolled back at once.

Cause: the generation was the number of rollouts of the version on record, and the record forgets.

Change: the highest generation of each service stays on record, and a version of which rollouts may have been dropped begins above it.

Tests: generationsRiseAcrossDroppedRollouts and generationsRiseAcrossAReorderedRollout failed on the code before (equal keys), and pass.

--- a/src/admin/needed_rollouts.cpp
+++ b/src/admin/needed_rollouts.cpp
@@ -7,6 +7,8 @@
     for (const auto& rollout : rollouts) {
         auto& service = services_[rollout.service];
         service.newest = &rollout;
+        const auto* highest = service.highestGeneration;
+        if (!highest || rollout.generation > highest->generation) service.highestGeneration = &rollout;
     }
     for (auto& [name, service] : services_) service.lastCompleted = messages::lastCompleted(rollouts, name);
 }
@@ -14,7 +16,7 @@
 bool NeededRollouts::contains(const messages::Rollout& rollout) const {
     if (rollout.running() || window_.contains(rollout)) return true;
     const auto& service = services_.at(rollout.service);
-    if (&rollout == service.newest) return true;
+    if (&rollout == service.newest || &rollout == service.highestGeneration) return true;
     return &rollout == service.lastCompleted;
 }
 
--- a/src/admin/needed_rollouts.hpp
+++ b/src/admin/needed_rollouts.hpp
@@ -14,7 +14,8 @@
 ///   - each running rollout;
 ///   - each whose order may still be repeated: the repeat begins nothing;
 ///   - of each service the newest, which rollouts.read returns, and the one completed last, whose target
-///     serves.
+///     serves;
+///   - of each service the one with the highest generation, from which that of the next one follows;
 class NeededRollouts {
   public:
     /// `rollouts` is in the order of start; both must outlive the object.
@@ -27,6 +28,7 @@
     struct Service {
         const messages::Rollout* newest = nullptr;
         const messages::Rollout* lastCompleted = nullptr;
+        const messages::Rollout* highestGeneration = nullptr;
     };
 
     const RepeatWindow& window_;
--- a/src/admin/rollout_requests.cpp
+++ b/src/admin/rollout_requests.cpp
@@ -15,11 +15,24 @@
     return next;
 }
 
+// Whether dropOldest() may have dropped rollouts of this record.
+bool mayHaveDropped(const messages::Rollouts& rollouts) {
+    const auto ended = std::count_if(rollouts.begin(), rollouts.end(),
+                                     [](const auto& rollout) { return !rollout.running(); });
+    return static_cast<std::size_t>(ended) >= kMaxEndedRollouts;
+}
+
+// Above those of all earlier rollouts of the version, also if they were dropped. 0 for its first one, unless
+// that is uncertain.
 std::int64_t nextGeneration(const messages::Rollouts& rollouts, const messages::Rollout& request) {
-    std::int64_t next = 0;
-    for (const auto& one : rollouts)
-        if (one.versionKey() == request.versionKey()) next = std::max(next, one.generation + 1);
-    return next;
+    std::int64_t ofVersion = 0;
+    std::int64_t ofService = 0;
+    for (const auto& one : rollouts) {
+        if (one.service != request.service) continue;
+        ofService = std::max(ofService, one.generation + 1);
+        if (one.target == request.target) ofVersion = std::max(ofVersion, one.generation + 1);
+    }
+    return ofVersion == 0 && mayHaveDropped(rollouts) ? ofService : ofVersion;
 }
 
 // Removes and returns the running rollout that the request asks for, which must be there.
--- a/src/messages/rollout.hpp
+++ b/src/messages/rollout.hpp
@@ -25,7 +25,7 @@
     // Milliseconds since the request and since the stage began, as of the last write. verdict::OrderAges adds
     // the time since then.
     std::int64_t ageMs = 0, stageAgeMs = 0;
-    // How many earlier rollouts of the same service and version are on record. Tells this one from those.
+    // Higher than those of all earlier rollouts of the same service and version. Tells this one from them.
     std::int64_t generation = 0;
 
     bool running() const { return state == kRolloutInProgress; }
--- a/tests/admin/needed_rollouts.cpp
+++ b/tests/admin/needed_rollouts.cpp
@@ -75,6 +75,8 @@
     CPPUNIT_TEST_SUITE(NeededRolloutsTest);
     CPPUNIT_TEST(newestRolloutOfAServiceIsKept);
     CPPUNIT_TEST(rolloutsThatMayBeRepeatedAreKept);
+    CPPUNIT_TEST(generationsRiseAcrossDroppedRollouts);
+    CPPUNIT_TEST(generationsRiseAcrossAReorderedRollout);
     CPPUNIT_TEST(otherEndedRolloutsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,39 @@
         CPPUNIT_ASSERT(record.order("shop", "v2") == RolloutRequestOutcome::begun);
     }
 
+    // Guards against a rollout with the key of an earlier one, whose age and votes were taken for its own.
+    void generationsRiseAcrossDroppedRollouts() {
+        Record record;
+        record.orderAndEnd("shop", "v1", messages::kRolloutCompleted);
+        record.orderAndEnd("shop", "v2", messages::kRolloutRolledBack);
+        const auto first = *record.newest("shop");
+        for (std::size_t at = 0; at < kOthers; ++at)
+            record.orderAndEnd("shop", "w" + std::to_string(at), messages::kRolloutRolledBack);
+        CPPUNIT_ASSERT(!record.has("shop", "v2"));
+        record.order("shop", "v2");
+        const auto second = *record.newest("shop");
+        CPPUNIT_ASSERT_EQUAL(first.versionKey(), second.versionKey());
+        CPPUNIT_ASSERT(first.key() != second.key());
+    }
+
+    // The newest rollout of a service need not have its highest generation: an order for a running rollout
+    // makes that the newest.
+    void generationsRiseAcrossAReorderedRollout() {
+        Record record;
+        record.orderAndEnd("shop", "v1", messages::kRolloutCompleted);
+        record.order("shop", "v2");
+        record.order("shop", "v3");
+        const auto first = *record.newest("shop");
+        record.age();
+        CPPUNIT_ASSERT(record.order("shop", "v2") == RolloutRequestOutcome::running);
+        record.end(messages::kRolloutRolledBack);
+        record.age();
+        for (std::size_t at = 0; at < kOthers; ++at)
+            record.orderAndEnd("other", "w" + std::to_string(at), messages::kRolloutCompleted);
+        record.order("shop", "v3");
+        CPPUNIT_ASSERT(first.key() != record.newest("shop")->key());
+    }
+
     void otherEndedRolloutsAreDropped() {
         Record record;
         for (int at = 0; at < 300; ++at)
