Rollouts: versions that were never in service stay on record

What could happen: before a service's first completed rollout proxies infer the version in service from those without a rollout. After 32 others a rolled-back version had none on record, and a proxy that started anew could take it for the one in service.

Change: of a service without a completed rollout the newest rollout of each version is kept.

Test: versionsOfAServiceWithoutACompletedRolloutAreKept failed on the code before, and passes.

--- a/src/admin/needed_rollouts.cpp
+++ b/src/admin/needed_rollouts.cpp
@@ -7,6 +7,7 @@
     for (const auto& rollout : rollouts) {
         auto& service = services_[rollout.service];
         service.newest = &rollout;
+        service.newestOfVersion[rollout.target] = &rollout;
         const auto* highest = service.highestGeneration;
         if (!highest || rollout.generation > highest->generation) service.highestGeneration = &rollout;
     }
@@ -17,7 +18,8 @@
     if (rollout.running() || window_.contains(rollout)) return true;
     const auto& service = services_.at(rollout.service);
     if (&rollout == service.newest || &rollout == service.highestGeneration) return true;
-    return &rollout == service.lastCompleted;
+    if (service.lastCompleted) return &rollout == service.lastCompleted;
+    return &rollout == service.newestOfVersion.at(rollout.target);
 }
 
 }  // namespace lichenlanding::admin
--- a/src/admin/needed_rollouts.hpp
+++ b/src/admin/needed_rollouts.hpp
@@ -16,6 +16,8 @@
 ///   - of each service the newest, which rollouts.read returns, and the one completed last, whose target
 ///     serves;
 ///   - of each service the one with the highest generation, from which that of the next one follows;
+///   - of each service without a completed rollout the newest of each version: proxies infer the version that
+///     serves from those that never had one.
 class NeededRollouts {
   public:
     /// `rollouts` is in the order of start; both must outlive the object.
@@ -29,6 +31,7 @@
         const messages::Rollout* newest = nullptr;
         const messages::Rollout* lastCompleted = nullptr;
         const messages::Rollout* highestGeneration = nullptr;
+        std::map<std::string, const messages::Rollout*> newestOfVersion;  // by target
     };
 
     const RepeatWindow& window_;
--- a/tests/admin/needed_rollouts.cpp
+++ b/tests/admin/needed_rollouts.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(rolloutsThatMayBeRepeatedAreKept);
     CPPUNIT_TEST(generationsRiseAcrossDroppedRollouts);
     CPPUNIT_TEST(generationsRiseAcrossAReorderedRollout);
+    CPPUNIT_TEST(versionsOfAServiceWithoutACompletedRolloutAreKept);
     CPPUNIT_TEST(otherEndedRolloutsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -146,6 +147,23 @@
         CPPUNIT_ASSERT(first.key() != record.newest("shop")->key());
     }
 
+    // Guards against a proxy that starts anew and takes a rolled-back version for the one in service, because
+    // the version has no rollout on record any more.
+    void versionsOfAServiceWithoutACompletedRolloutAreKept() {
+        Record record;
+        record.orderAndEnd("shop", "v2", messages::kRolloutRolledBack);
+        record.orderAndEnd("shop", "v3", messages::kRolloutRolledBack);
+        for (std::size_t at = 0; at < kOthers; ++at)
+            record.orderAndEnd("other", "w" + std::to_string(at), messages::kRolloutCompleted);
+        CPPUNIT_ASSERT(record.has("shop", "v2"));
+        CPPUNIT_ASSERT(record.has("shop", "v3"));
+        record.orderAndEnd("shop", "v4", messages::kRolloutCompleted);
+        for (std::size_t at = 0; at < kOthers; ++at)
+            record.orderAndEnd("other", "x" + std::to_string(at), messages::kRolloutCompleted);
+        CPPUNIT_ASSERT(!record.has("shop", "v2"));
+        CPPUNIT_ASSERT(record.has("shop", "v4"));
+    }
+
     void otherEndedRolloutsAreDropped() {
         Record record;
         for (int at = 0; at < 300; ++at)
