--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -164,8 +164,9 @@
     deadlinePassed_ = now >= routed.deadline;
     for (const auto& [call, _] : attempts_)
         if (deadlinePassed_ || (isUnsent(*call) && now >= call->startedAt + kConnectTimeout)) call->abort();
-    // After the deadline the client may not send the rest of the body either.
-    if (deadlinePassed_ && request_->uploadStarted) connection_->close();
+    // The client may not send the rest of its body either. It is answered all the same.
+    const bool uploading = request_->uploadStarted && !request_->uploadEnded;
+    if (deadlinePassed_ && uploading) connection_->cancelRead();
     if (now >= nextHedgeCheck_ && !deadlinePassed_) {
         nextHedgeCheck_ = routed.deadline;
         attemptWanted_ = true;
