--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t kFieldCopies = 2;  // as parsed, and in the response
 // Connections with less are kept with their read buffer.
 constexpr std::size_t kMaxIdleBufferBytes = 4096;
-// A connection is closed if the host acknowledges no byte for this long.
-constexpr Nanos kPeerTimeout = 3 * kSecond;
+// The least time for which a host may acknowledge no byte before its connection is closed.
+constexpr Nanos kMinUnacknowledgedTimeout = 3 * kSecond;
 
 // Whether a connection is open and has no input. An idle connection with input carries bytes that belong to
 // no request.
@@ -155,6 +155,9 @@
     if (call->aborted) co_return;
     const bool connected = co_await connect(call, nonIdempotent, maxConnections);
     if (!connected) co_return;  // ends as unreached
+    // The kernel counts a host that reads no further as one that acknowledges nothing. It may be at work, so
+    // that only the deadline ends the attempt.
+    configureSocket(call->connection->socket, std::max(kMinUnacknowledgedTimeout, deadline - now()));
     call->attempt->apply(AttemptEvent::written);
     call->end = AttemptEvent::connectionLost;
     const auto error = co_await writeRequest(call, request, deadline, writeBody);
@@ -180,7 +183,6 @@
         call->connection.reset();
         co_return false;
     }
-    configureSocket(connection->socket, kPeerTimeout);
     co_return true;
 }
 
--- a/tests/proxy/oversized_fields.cpp
+++ b/tests/proxy/oversized_fields.cpp
@@ -63,16 +63,6 @@
     std::vector<std::string> headers_;
 };
 
-void allowLongHeaders(HttpServerFixture& fixture) {
-    auto configuration = HttpServerFixture::configuration("");
-    const std::string limit = "\"max_header_bytes\":2048";
-    configuration.replace(configuration.find(limit), limit.size(),
-                          "\"max_header_bytes\":" + std::to_string(kMaxHeaderBytes));
-    configuration.replace(configuration.find("00000001"), 8, "00000002");
-    fixture.router->setConfiguration(
-        std::make_shared<config::Configuration>(config::Configuration::parse(configuration)));
-}
-
 std::size_t count(const std::string& text, const std::string& part) {
     std::size_t found = 0;
     for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++found;
@@ -96,7 +86,7 @@
     // read it. Fields of one name, before and after a long one, keep their order and their bytes.
     void fieldsInsideTheLimitsArePassedOn() {
         HttpServerFixture fixture;
-        allowLongHeaders(fixture);
+        fixture.setLimit("max_header_bytes", kMaxHeaderBytes);
         const RawPod pod(fixture);
         const auto first = longText('a');
         const auto second = longText('b');
@@ -122,7 +112,7 @@
 
     void longRequestLineIsPassedOn() {
         HttpServerFixture fixture;
-        allowLongHeaders(fixture);
+        fixture.setLimit("max_header_bytes", kMaxHeaderBytes);
         const RawPod pod(fixture);
         const auto path = "/read/" + longText('p') + longText('q');
         const auto received =
@@ -133,7 +123,7 @@
 
     void fieldsBeyondTheLimitsAreRejected() {
         HttpServerFixture fixture;
-        allowLongHeaders(fixture);
+        fixture.setLimit("max_header_bytes", kMaxHeaderBytes);
         const RawPod pod(fixture);
         const auto fields = "A: " + longText('a') + "\r\nB: " + longText('b') + "\r\nC: " + longText('c') +
                             "\r\nD: " + longText('d') + "\r\n";
@@ -147,7 +137,7 @@
     // A value that decides about the request gets the same answer as a short one that means nothing.
     void longFieldsThatTheProxyReadsItself() {
         HttpServerFixture fixture;
-        allowLongHeaders(fixture);
+        fixture.setLimit("max_header_bytes", kMaxHeaderBytes);
         const RawPod pod(fixture);
         const auto status = [&](const std::string& fields) {
             const auto received =
@@ -168,7 +158,7 @@
 
     void longConnectionFieldRemovesItsOptions() {
         HttpServerFixture fixture;
-        allowLongHeaders(fixture);
+        fixture.setLimit("max_header_bytes", kMaxHeaderBytes);
         const RawPod pod(fixture);
         std::string options = "x-first";
         while (options.size() < kLongBytes) options += ", x-option-" + std::to_string(options.size());
--- a/tests/proxy/upload_timeout.cpp
+++ b/tests/proxy/upload_timeout.cpp
@@ -6,17 +6,9 @@
 namespace {
 
 constexpr std::size_t kBodyBytes = 600'000;  // more than a proxy buffers
+constexpr std::size_t kMaxBodyBytes = 1'000'000;
 constexpr int kDeadlineMilliseconds = 300;
 
-void allowLongBodies(HttpServerFixture& fixture) {
-    auto configuration = HttpServerFixture::configuration("");
-    const std::string limit = "\"max_body_bytes\":4096";
-    configuration.replace(configuration.find(limit), limit.size(), "\"max_body_bytes\":1000000");
-    configuration.replace(configuration.find("00000001"), 8, "00000002");
-    fixture.router->setConfiguration(
-        std::make_shared<config::Configuration>(config::Configuration::parse(configuration)));
-}
-
 // A request of which the client sends the first `sentBytes` of the body.
 std::string upload(const std::string& id, const std::string& framing, std::size_t sentBytes) {
     return "POST /write/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
@@ -39,7 +31,7 @@
     // Guards against review/8: an order whose body was streamed got no answer at its route's timeout.
     void podThatHasTheWholeBodyAndNoAnswer() {
         HttpServerFixture fixture;
-        allowLongBodies(fixture);
+        fixture.setLimit("max_body_bytes", kMaxBodyBytes);
         fixture.pod("A", {{"", Reply::keepOpen}});
         const auto received = fixture.client(upload("g1", withLength(), kBodyBytes), 1, true);
         CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("  504 "));
@@ -56,7 +48,7 @@
   private:
     static void expectAnswer(const std::string& framing, std::size_t sentBytes) {
         HttpServerFixture fixture;
-        allowLongBodies(fixture);
+        fixture.setLimit("max_body_bytes", kMaxBodyBytes);
         fixture.pod("A", {{"", Reply::keepOpen}});
         const auto received = fixture.client(upload("g1", framing, sentBytes), 1, true);
         CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("  504 "));
--- a/tests/support/http_server_fixture.hpp
+++ b/tests/support/http_server_fixture.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <regex>
 
 #include "proxy/http_server.hpp"
 #include "support/event_loop_fixture.hpp"
@@ -65,6 +66,15 @@
                (more.empty() ? "" : "," + more) + "]}";
     }
 
+    // Applies the next configuration, with another value of one of the limits.
+    void setLimit(const std::string& name, std::size_t value) {
+        static const std::regex kVersion("\"00000001\"");
+        const std::regex limit("\"" + name + "\":[0-9]+");
+        auto text = std::regex_replace(configuration(""), kVersion, "\"00000002\"");
+        text = std::regex_replace(text, limit, "\"" + name + "\":" + std::to_string(value));
+        router->setConfiguration(std::make_shared<config::Configuration>(config::Configuration::parse(text)));
+    }
+
     // Adds a pod that sends `replies` in order, one per request, over all its connections.
     void pod(const std::string& name, std::deque<Reply> replies) {
         scripts[name] = std::move(replies);
