--- a/src/admin/configuration_record.cpp
+++ b/src/admin/configuration_record.cpp
@@ -127,8 +127,10 @@
     ConfigurationRecord record;
     if (!value.empty()) record = decodeRecord(value);
     if (checkDuplicate(record, request) != DuplicateCheck::unknown) return value;
-    if (value.empty() || request.number > record.version)
-        record.version = request.number, record.compressed = request.compressed;
+    if (value.empty() || request.number > record.version) {
+        record.version = request.number;
+        record.compressed = request.compressed;
+    }
     record.history.push_back({request.number, request.body});
     if (record.history.size() > kMaxHistoryEntries) {
         // Drops the oldest entry, but never the one in force: another body under its number stays a conflict,
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -46,7 +46,8 @@
         return;
     }
     --limit.tokens;
-    fields["event"] = event, fields["node"] = ownNodeName;
+    fields["event"] = event;
+    fields["node"] = ownNodeName;
     const std::chrono::duration<double> clock = std::chrono::system_clock::now().time_since_epoch();
     fields["at"] = std::round(clock.count() * 1000) / 1000;
     if (limit.suppressed > 0) fields["held_back"] = std::exchange(limit.suppressed, 0);
--- a/tests/membership/steady_changes.cpp
+++ b/tests/membership/steady_changes.cpp
@@ -50,6 +50,28 @@
     bool running_ = true, stopped_ = false;
 };
 
+void expectVoteWithinSyncTime(Cluster& cluster, int at) {
+    const Nanos startedAt = now();
+    cluster.until("it votes, or sync_time has passed",
+                  [&] { return cluster.replica(at).isVotingMember() || now() - startedAt > kSyncTime; });
+    CPPUNIT_ASSERT(cluster.replica(at).isVotingMember());
+}
+
+// A cluster in which a value was written, the third machine is down, and its disk is empty.
+struct ClusterWithLostDisk : Cluster {
+    ClusterWithLostDisk() : Cluster(3) {
+        tolerance = [](config::BootstrapSettings& boot) {
+            boot.tolerableMachineLosses = 1;
+            boot.controlReplaceAfter = 0;  // 0.6 of sync_time, as in the deployments
+        };
+        for (int at = 0; at < 3; ++at) launch(at, true);
+        until("all are in contact", [&] { return hasQuorumContact({0, 1, 2}); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), write(0, "one"));
+        nodes[2]->kill();
+        disks[2].restore({});
+    }
+};
+
 }  // namespace
 
 class SteadyChangesTest : public CppUnit::TestFixture {
@@ -66,18 +88,11 @@
     // Guards against review/4: a member that lost its disk got no place while changes went on, and the next
     // lost disk took the register for good.
     void replacesALostDisk() {
-        Cluster cluster(3, 3);
-        cluster.until("all are in contact", [&] { return cluster.hasQuorumContact({0, 1, 2}); });
-        CPPUNIT_ASSERT_EQUAL(std::string("one"), cluster.write(0, "one"));
-        cluster.nodes[2]->kill();
-        cluster.disks[2].restore({});
+        ClusterWithLostDisk cluster;
         const SteadyChanges changes(cluster, 0);
         cluster.launch(2, false);
         cluster.nodes[2]->messageDelay = kMessageDelay;
-        const Nanos startedAt = now();
-        cluster.until("it votes again, or sync_time has passed",
-                      [&] { return cluster.replica(2).isVotingMember() || now() - startedAt > kSyncTime; });
-        CPPUNIT_ASSERT(cluster.replica(2).isVotingMember());
+        expectVoteWithinSyncTime(cluster, 2);
         const int before = changes.acknowledged();
         cluster.until("changes go on", [&] { return changes.acknowledged() > before; });
     }
@@ -85,34 +100,18 @@
     // Members at different distances are never found in the same state while changes go on, so that no read
     // of the machine that lost its disk can find a majority that agrees.
     void replacesALostDiskFarFromTheOthers() {
-        Cluster cluster(3, 3);
-        cluster.until("all are in contact", [&] { return cluster.hasQuorumContact({0, 1, 2}); });
-        CPPUNIT_ASSERT_EQUAL(std::string("one"), cluster.write(0, "one"));
-        cluster.nodes[2]->kill();
-        cluster.disks[2].restore({});
+        ClusterWithLostDisk cluster;
         cluster.nodes[1]->messageDelay = kMessageDelay / 2;
         const SteadyChanges changes(cluster, 0);
         cluster.launch(2, false);
         cluster.nodes[2]->messageDelay = kMessageDelay;
-        const Nanos startedAt = now();
-        cluster.until("it votes again, or sync_time has passed",
-                      [&] { return cluster.replica(2).isVotingMember() || now() - startedAt > kSyncTime; });
-        CPPUNIT_ASSERT(cluster.replica(2).isVotingMember());
+        expectVoteWithinSyncTime(cluster, 2);
     }
 
     // Guards against a spare that lacks a value for good: the write of it failed once, and was tried again
     // only in pauses of the disk, which there are none of while another value changes.
     void replacesALostDiskWhoseNewDiskIsBusy() {
-        Cluster cluster(3);
-        cluster.tolerance = [](config::BootstrapSettings& boot) {
-            boot.tolerableMachineLosses = 1;
-            boot.controlReplaceAfter = 0;  // 0.6 of sync_time, as in the deployments
-        };
-        for (int at = 0; at < 3; ++at) cluster.launch(at, true);
-        cluster.until("all are in contact", [&] { return cluster.hasQuorumContact({0, 1, 2}); });
-        CPPUNIT_ASSERT_EQUAL(std::string("one"), cluster.write(0, "one"));
-        cluster.nodes[2]->kill();
-        cluster.disks[2].restore({});
+        ClusterWithLostDisk cluster;
         cluster.disks[2].refuse(control_plane::kLeasesKey);
         cluster.disks[2].writeTime = std::chrono::milliseconds(300);
         const SteadyChanges leases(cluster, 0, control_plane::kLeasesKey, 1);
@@ -123,10 +122,7 @@
             return cluster.disks[2].refusedWrites() > 0 && cluster.disks[2].writeCount() > 10;
         });
         cluster.disks[2].refuse("");
-        const Nanos startedAt = now();
-        cluster.until("it votes again, or sync_time has passed",
-                      [&] { return cluster.replica(2).isVotingMember() || now() - startedAt > kSyncTime; });
-        CPPUNIT_ASSERT(cluster.replica(2).isVotingMember());
+        expectVoteWithinSyncTime(cluster, 2);
     }
 
     // Guards against the same on SIGTERM: the member found no spare that had the newest value, and left
